Serve general routes on a hosted platform, through an adapter in platform/

The gateway for general routes is a module of the product; platform/ links it with the users' key-value service, keys and header names. One single-threaded process a machine; the HTTP list and directory, placement, claims and the operators' tree are not started there.

--- /dev/null
+++ b/src/gateway/instances.rs
@@ -0,0 +1,140 @@
+//! Instances announce themselves in the store and find each other there.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::world::World;
+use crate::id::RegionId;
+use crate::journal;
+use crate::member::Member;
+use crate::platform::{InstanceList, ListedInstance, ListedState, Listing, PlatformError};
+use crate::store::{Entry, Expect, LeaseId, Store, StoreError, Swap};
+
+/// The prefix of the instances' keys.
+pub const INSTANCES_PREFIX: &str = "limpetstand/instances/";
+
+/// How long an instance stays listed after it has gone without a word.
+const LEASE_TIME: Duration = Duration::from_secs(4);
+
+/// How often the lease is renewed: three times in its life.
+const RENEW_PERIOD: Duration = Duration::from_millis(1_300);
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Swaps tried at once when an entry of an earlier process stands there.
+const SWAPS_AT_ONCE: usize = 3;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireInstance {
+    front: SocketAddr,
+    peer: SocketAddr,
+    region: RegionId,
+    data_centre: SmolStr,
+}
+
+/// Decodes the instances' entries; one that cannot be read costs only itself.
+pub fn decode_all(entries: &BTreeMap<String, Entry>) -> Vec<ListedInstance> {
+    let mut instances = Vec::new();
+    for (key, entry) in entries {
+        let Some(id) = key.strip_prefix(INSTANCES_PREFIX) else {
+            continue;
+        };
+        let wire: WireInstance = match serde_json::from_slice(&entry.value) {
+            Ok(wire) => wire,
+            Err(e) => {
+                journal::line("entry_ignored")
+                    .text("key", key)
+                    .text("error", &e.to_string());
+                continue;
+            }
+        };
+        instances.push(ListedInstance {
+            id: id.into(),
+            front: wire.front,
+            peer: wire.peer,
+            region: wire.region,
+            data_centre: wire.data_centre,
+            state: ListedState::Live,
+        });
+    }
+    instances
+}
+
+/// The instances as the view of the platform has them.
+pub struct StoreList(pub watch::Receiver<Arc<World>>);
+
+#[async_trait]
+impl InstanceList for StoreList {
+    async fn read(&self) -> Result<Listing, PlatformError> {
+        let instances = self.0.borrow().instances.clone();
+        if instances.is_empty() {
+            return Err(PlatformError("no instance is listed yet".to_owned()));
+        }
+        Ok(Listing {
+            instances,
+            targets: Vec::new(),
+        })
+    }
+}
+
+/// Keeps this instance listed until `stop` changes, then takes it off the list.
+pub async fn announce(member: Member, store: Arc<dyn Store>, mut stop: watch::Receiver<bool>) {
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            Some(id) => store.keep_alive(id).await.map(|_| id),
+            None => enlist(&member, &*store).await,
+        };
+        let pause = match result {
+            Ok(id) => {
+                lease = Some(id);
+                RENEW_PERIOD
+            }
+            Err(StoreError::LeaseLapsed) => {
+                lease = None;
+                Duration::ZERO
+            }
+            Err(_) => RETRY_PAUSE,
+        };
+        tokio::select! {
+            () = sleep(pause.mul_f64(rand::random_range(0.9..1.1))) => {}
+            _ = stop.changed() => break,
+        }
+    }
+    if let Some(id) = lease {
+        // If the store does not answer, the lease lapses by itself.
+        let _ = store.revoke(id).await;
+    }
+}
+
+async fn enlist(member: &Member, store: &dyn Store) -> Result<LeaseId, StoreError> {
+    let key = format!("{INSTANCES_PREFIX}{}", member.id);
+    let wire = WireInstance {
+        front: member.front,
+        peer: member.peer,
+        region: member.region.clone(),
+        data_centre: member.data_centre.clone(),
+    };
+    let value = serde_json::to_vec(&wire).map_err(|e| StoreError::Refused(e.to_string()))?;
+    let value = bytes::Bytes::from(value);
+    let lease = store.grant(LEASE_TIME).await?;
+    let mut expect = Expect::Absent;
+    for _ in 0..SWAPS_AT_ONCE {
+        let swapped = store.swap(&key, expect, value.clone(), Some(lease)).await?;
+        match swapped {
+            Swap::Done(_) => return Ok(lease),
+            Swap::Lost(Some(found)) => expect = Expect::Revision(found.mod_revision),
+            Swap::Lost(None) => expect = Expect::Absent,
+        }
+    }
+    Err(StoreError::Unknown("the entry keeps changing".to_owned()))
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,204 @@
+//! Hands requests to instances of other regions.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use super::dialect::PromptPart;
+use super::job::Job;
+use super::routes::RouteKind;
+use crate::id::{OrganisationId, RegionId, RouteId, TargetId};
+use crate::peer::PeerError;
+use crate::refusal::Refusal;
+
+/// The longest deadline that a relayed request may carry.
+const MAX_TIME_LEFT: Duration = Duration::from_secs(24 * 60 * 60);
+
+type WireHeaders = Vec<(String, Bytes)>;
+
+/// A relayed request.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct WireJob {
+    id: SmolStr,
+    route: RouteId,
+    kind: WireKind,
+    service: SmolStr,
+    organisation: Option<OrganisationId>,
+    priority: u8,
+    max_attempts: u32,
+    attempts: u32,
+    objective_us: u64,
+    time_left_us: u64,
+    method: String,
+    path: String,
+    headers: WireHeaders,
+    body: Bytes,
+    regions: Vec<RegionId>,
+    prompt: Vec<(u64, u32)>,
+    resume_after: Option<SmolStr>,
+    hops: u8,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+enum WireKind {
+    Idempotent,
+    Once,
+    Stream,
+    ResumableStream,
+}
+
+/// The head of the answer to a relayed request.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct WireHead {
+    /// The expected wait for the service there, in milliseconds.
+    pub wait_ms: Option<f64>,
+    /// Targets that the request has been sent to by now.
+    pub attempts: u32,
+    /// The answer or the refusal.
+    pub outcome: WireOutcome,
+}
+
+/// What became of a relayed request.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum WireOutcome {
+    /// A target answers; the body follows.
+    Answer {
+        /// The target's status.
+        status: u16,
+        /// The target's headers.
+        headers: Vec<(String, Bytes)>,
+        /// The target.
+        target: TargetId,
+    },
+    /// There is no answer.
+    Refused(Refusal),
+}
+
+/// Encodes headers.
+pub(super) fn headers_to_wire(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    let mut wire = Vec::with_capacity(headers.len());
+    for (name, value) in headers {
+        wire.push((
+            name.as_str().to_owned(),
+            Bytes::copy_from_slice(value.as_bytes()),
+        ));
+    }
+    wire
+}
+
+/// Decodes headers.
+///
+/// # Errors
+///
+/// Malformed if a name or a value cannot be a header's.
+pub(super) fn headers_from_wire(wire: Vec<(String, Bytes)>) -> Result<HeaderMap, PeerError> {
+    let malformed = |e: &dyn std::fmt::Display| PeerError::Malformed(e.to_string());
+    let mut headers = HeaderMap::with_capacity(wire.len());
+    for (name, value) in wire {
+        let name = HeaderName::try_from(name).map_err(|e| malformed(&e))?;
+        let value = HeaderValue::from_maybe_shared(value).map_err(|e| malformed(&e))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// Decodes a status.
+///
+/// # Errors
+///
+/// Malformed if it is none.
+pub(super) fn status_from_wire(status: u16) -> Result<StatusCode, PeerError> {
+    StatusCode::from_u16(status).map_err(|e| PeerError::Malformed(e.to_string()))
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<RouteKind> for WireKind {
+    fn from(kind: RouteKind) -> Self {
+        match kind {
+            RouteKind::Idempotent => Self::Idempotent,
+            RouteKind::Once => Self::Once,
+            RouteKind::Stream => Self::Stream,
+            RouteKind::ResumableStream => Self::ResumableStream,
+        }
+    }
+}
+
+impl From<WireKind> for RouteKind {
+    fn from(kind: WireKind) -> Self {
+        match kind {
+            WireKind::Idempotent => Self::Idempotent,
+            WireKind::Once => Self::Once,
+            WireKind::Stream => Self::Stream,
+            WireKind::ResumableStream => Self::ResumableStream,
+        }
+    }
+}
+
+impl From<&Job> for WireJob {
+    fn from(job: &Job) -> Self {
+        Self {
+            id: job.id.clone(),
+            route: job.route.clone(),
+            kind: job.kind.into(),
+            service: job.service.clone(),
+            organisation: job.organisation.clone(),
+            priority: job.priority,
+            max_attempts: job.max_attempts,
+            attempts: job.attempts,
+            objective_us: micros(job.objective),
+            time_left_us: micros(job.time_left()),
+            method: job.method.to_string(),
+            path: job.path.clone(),
+            headers: headers_to_wire(&job.headers),
+            body: job.body.clone(),
+            regions: job.regions.clone(),
+            prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
+            resume_after: job.resume_after.clone(),
+            hops: job.hops + 1,
+        }
+    }
+}
+
+impl TryFrom<WireJob> for Job {
+    type Error = PeerError;
+
+    fn try_from(wire: WireJob) -> Result<Self, PeerError> {
+        let time_left = Duration::from_micros(wire.time_left_us);
+        if time_left > MAX_TIME_LEFT {
+            return Err(PeerError::Malformed("deadline too far".to_owned()));
+        }
+        let method = Method::from_bytes(wire.method.as_bytes())
+            .map_err(|e| PeerError::Malformed(e.to_string()))?;
+        let mut prompt = Vec::with_capacity(wire.prompt.len());
+        for (id, tokens) in wire.prompt {
+            prompt.push(PromptPart { id, tokens });
+        }
+        Ok(Self {
+            id: wire.id,
+            route: wire.route,
+            kind: wire.kind.into(),
+            service: wire.service,
+            organisation: wire.organisation,
+            priority: wire.priority,
+            max_attempts: wire.max_attempts,
+            attempts: wire.attempts,
+            objective: Duration::from_micros(wire.objective_us),
+            deadline: Instant::now() + time_left,
+            method,
+            path: wire.path,
+            headers: headers_from_wire(wire.headers)?,
+            body: wire.body,
+            regions: wire.regions,
+            prompt,
+            resume_after: wire.resume_after,
+            hops: wire.hops,
+        })
+    }
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,285 @@
+//! Starts the gateway of one instance, and shuts it down without cutting off a request.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::callers::{AnswerBody, Callers, whole};
+use super::dialect::platform;
+use super::directory::Platform;
+use super::follow::{Follower, Parts};
+use super::instances::{StoreList, announce};
+use super::listen::{Handler, serve};
+use super::quota::{Quota, snapshots};
+use super::settings::{Bounds, GatewaySettings};
+use super::upstream::Upstream;
+use super::{Gateway, Relays, WaitHandler};
+use crate::journal;
+use crate::kernel::{Base, KernelError, bind, own_member};
+use crate::limit;
+use crate::member::{self, Membership};
+use crate::peer::PeerServer;
+use crate::settings::Settings;
+
+/// The least time between the announcement that an instance leaves and its end: clients keep an
+/// answer of the directory for about so long.
+const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+
+/// Time before the end of the grace at which connections are closed.
+const CLOSE_BEFORE: Duration = Duration::from_millis(900);
+
+/// Time for the connections to end after their last answer.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// Time in which the shares of limits are given up.
+const GIVE_UP_TIME: Duration = Duration::from_millis(400);
+
+/// How often a leaving instance looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// How often unused connections are swept and metrics folded.
+const UPKEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// How often the settings file is looked at for a change that no signal told of.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(3);
+
+/// Runs the gateway until `stop` ends.
+///
+/// # Errors
+///
+/// If an address cannot be listened on or a plug-in is unknown.
+pub async fn run(
+    settings: Settings,
+    gateway: GatewaySettings,
+    path: Option<PathBuf>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), KernelError> {
+    journal::start().map_err(|e| KernelError::Other(format!("journal: {e}")))?;
+    let instance = settings.instance.clone();
+    let front = bind("front", instance.front).await?;
+    let peer = bind("peer", instance.peer).await?;
+    let admin = bind("admin", instance.admin).await?;
+    let ready = bind("ready", gateway.ready).await?;
+    let directory = bind("directory", gateway.directory).await?;
+    let base = Base::new(settings)?;
+    let running = start(base, &gateway, path, peer)?;
+    journal::line("start")
+        .text("instance", instance.id.as_str())
+        .text("region", instance.region.as_str())
+        .text("front", &instance.front.to_string());
+    let (stop_tx, stopped) = watch::channel(false);
+    let platform: Arc<dyn Handler> = Arc::new(Platform(Arc::clone(&running.gateway)));
+    let metrics: Arc<dyn Handler> = Arc::new(Metrics(running.metrics.clone()));
+    let callers: Arc<dyn Handler> = Arc::new(Callers(Arc::clone(&running.gateway)));
+    for (listener, handler) in [
+        (ready, Arc::clone(&platform)),
+        (directory, platform),
+        (admin, metrics),
+        (front, callers),
+    ] {
+        tokio::spawn(serve(listener, handler, stopped.clone()));
+    }
+    stop.await;
+    running.shut_down(stop_tx).await;
+    journal::line("stop").text("instance", instance.id.as_str());
+    journal::flush();
+    Ok(())
+}
+
+struct Running {
+    gateway: Arc<Gateway>,
+    membership: Membership,
+    limiter: Arc<dyn limit::Limiter>,
+    metrics: PrometheusHandle,
+    announced: watch::Sender<bool>,
+    peers: watch::Sender<bool>,
+}
+
+fn start(
+    base: Base,
+    settings: &GatewaySettings,
+    path: Option<PathBuf>,
+    listener: TcpListener,
+) -> Result<Running, KernelError> {
+    let plugin = platform(&settings.platform).ok_or_else(|| KernelError::Unknown {
+        section: "gateway",
+        key: "platform",
+        message: "there is no platform plug-in of this name".to_owned(),
+    })?;
+    let own = own_member(&base);
+    let follower = Follower::new(Parts {
+        id: own.id.clone(),
+        clock: base.clock,
+        store: Arc::clone(&base.store),
+        layout: (plugin.layout)(),
+        regions: settings.data_centres.clone(),
+    });
+    let world = follower.world();
+    let membership = member::builder(own.clone(), Arc::new(StoreList(world.clone())))
+        .clock(base.clock)
+        .peers(Arc::clone(&base.peers))
+        .start();
+    follower.start(membership.fleet(), Arc::clone(&base.peers));
+    let limits = limit::start(
+        &base.settings.policy.limit,
+        limit::Parts {
+            id: own.id.clone(),
+            region: own.region.clone(),
+            clock: base.clock,
+            snapshot: snapshots(world.clone()),
+            fleet: membership.fleet(),
+            peers: Arc::clone(&base.peers),
+            store: Arc::clone(&base.store),
+        },
+    )
+    .map_err(|e| KernelError::Unknown {
+        section: "policy",
+        key: "limit",
+        message: e.to_string(),
+    })?;
+    let (bounds_tx, bounds) = watch::channel(Bounds::from(settings));
+    if let Some(path) = path {
+        tokio::spawn(follow_settings(path, bounds_tx));
+    }
+    let mut regions: Vec<_> = settings.data_centres.values().cloned().collect();
+    regions.sort();
+    regions.dedup();
+    let gateway = Arc::new(Gateway {
+        id: own.id.clone(),
+        region: own.region.clone(),
+        clock: base.clock,
+        dialect: (plugin.dialect)(),
+        world,
+        fleet: membership.fleet(),
+        bounds,
+        regions,
+        peers: Arc::clone(&base.peers),
+        upstream: Upstream::new(base.settings.instance.source),
+        quota: Quota::new(Arc::clone(&limits.limiter), base.clock),
+        pool: std::sync::Mutex::default(),
+        retries: std::sync::Mutex::default(),
+        waits: std::sync::Mutex::default(),
+        leaving: std::sync::atomic::AtomicBool::new(false),
+        in_flight: Arc::default(),
+    });
+    let mut server = PeerServer::relaying(Some(Arc::new(Relays(Arc::clone(&gateway)))))
+        .handle(membership.handler())
+        .handle(follower)
+        .handle(Arc::new(WaitHandler(Arc::clone(&gateway))));
+    if let Some(handler) = limits.handler {
+        server = server.handle(handler);
+    }
+    let (peers, peers_stopped) = watch::channel(false);
+    tokio::spawn(server.serve(listener, peers_stopped));
+    let (announced, withdrawn) = watch::channel(false);
+    tokio::spawn(announce(own, Arc::clone(&base.store), withdrawn));
+    tokio::spawn(upkeep(Arc::clone(&gateway), base.metrics.clone()));
+    Ok(Running {
+        gateway,
+        membership,
+        limiter: limits.limiter,
+        metrics: base.metrics,
+        announced,
+        peers,
+    })
+}
+
+impl Running {
+    /// Announces that the instance leaves, lets requests in flight end, and closes.
+    async fn shut_down(self, stop: watch::Sender<bool>) {
+        let began = Instant::now();
+        let gateway = &self.gateway;
+        journal::line("leaving").value("in_flight", gateway.in_flight.load(Ordering::Acquire));
+        gateway.leaving.store(true, Ordering::Release);
+        self.announced.send_replace(true);
+        self.membership.leave().await;
+        let longest = gateway.bounds().grace.saturating_sub(CLOSE_BEFORE);
+        while began.elapsed() < longest {
+            let busy = gateway.in_flight.load(Ordering::Acquire);
+            if busy == 0 && began.elapsed() >= LEAVE_NOTICE {
+                break;
+            }
+            sleep(DRAIN_POLL).await;
+        }
+        stop.send_replace(true);
+        sleep(CLOSE_TIME).await;
+        // What is not given up in time is taken back by the others.
+        let _ = timeout(GIVE_UP_TIME, self.limiter.leave()).await;
+        self.peers.send_replace(true);
+    }
+}
+
+async fn upkeep(gateway: Arc<Gateway>, metrics: PrometheusHandle) {
+    loop {
+        sleep(UPKEEP_PERIOD).await;
+        gateway.upstream.sweep();
+        let world = gateway.world();
+        gateway.pool().retain(&world);
+        metrics.run_upkeep();
+    }
+}
+
+/// Takes in changes of the settings file, told by SIGHUP or found by looking.
+async fn follow_settings(path: PathBuf, tx: watch::Sender<Bounds>) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        log::error!("SIGHUP cannot be handled; settings stay as they are");
+        return;
+    };
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            told = hangup.recv() => if told.is_none() { return },
+            () = sleep(SETTINGS_PERIOD) => {}
+        }
+        if let Some(changed) = reread(&path, &text) {
+            text = changed;
+            take_settings(&path, &text, &tx);
+        }
+    }
+}
+
+fn reread(path: &Path, before: &str) -> Option<String> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => (text != before).then_some(text),
+        Err(e) => {
+            journal::line("reload_failed").text("error", &e.to_string());
+            None
+        }
+    }
+}
+
+fn take_settings(path: &Path, text: &str, tx: &watch::Sender<Bounds>) {
+    match Settings::parse(text) {
+        Ok(settings) => {
+            let Some(gateway) = &settings.gateway else {
+                journal::line("reload_failed").text("error", "there is no section [gateway]");
+                return;
+            };
+            tx.send_replace(Bounds::from(gateway));
+            journal::line("reload").text("file", &path.display().to_string());
+        }
+        Err(e) => {
+            journal::line("reload_failed").text("error", &e.to_string());
+        }
+    }
+}
+
+/// Serves the metrics as text.
+struct Metrics(PrometheusHandle);
+
+#[async_trait]
+impl Handler for Metrics {
+    async fn answer(&self, _: Request<Incoming>) -> Response<AnswerBody> {
+        Response::new(whole(self.0.render()))
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,152 @@
+//! The gateway's part of the settings file.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use super::retry;
+use super::tolerance::Tolerance;
+use crate::id::RegionId;
+
+/// The section `[gateway]`.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The platform plug-in.
+    pub platform: SmolStr,
+    /// Where the platform probes for readiness.
+    pub ready: SocketAddr,
+    /// Where clients ask which instances to use.
+    pub directory: SocketAddr,
+    /// The region of each data centre.
+    pub data_centres: BTreeMap<SmolStr, RegionId>,
+    /// How long a shutdown may take, in milliseconds.
+    #[serde(default = "default_grace_ms")]
+    pub grace_ms: u64,
+    /// How long clients may keep an answer of the directory, in milliseconds.
+    #[serde(default = "default_directory_ttl_ms")]
+    pub directory_ttl_ms: u64,
+    /// Second sends for each request, over the whole fleet.
+    #[serde(default)]
+    pub retry_ratio: f64,
+    /// Second sends beside these in a window, over the whole fleet.
+    #[serde(default)]
+    pub retry_slack: f64,
+    /// The window of the retry budget, in seconds.
+    #[serde(default = "default_retry_window_s")]
+    pub retry_window_s: f64,
+    /// What organisations may get over rate and burst, as a ratio; nothing unless set.
+    #[serde(default)]
+    pub limit_overshoot: f64,
+    /// What organisations may get beside that, in units; nothing unless set.
+    #[serde(default)]
+    pub limit_slack: f64,
+    /// The window in which both are counted, in seconds.
+    #[serde(default = "default_limit_window_s")]
+    pub limit_window_s: f64,
+    /// Requests a second that cold targets bear, as a multiple of what their service says.
+    #[serde(default = "default_warmup_overshoot")]
+    pub warmup_overshoot: f64,
+    /// Requests a second that cold targets bear beside that.
+    #[serde(default)]
+    pub warmup_slack: f64,
+}
+
+/// The bounds that may change while an instance runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// How long a shutdown may take.
+    pub grace: Duration,
+    /// How long clients may keep an answer of the directory.
+    pub directory_ttl: Duration,
+    /// The retry budget.
+    pub retry: retry::Bound,
+    /// What organisations may get beyond their limits.
+    pub tolerance: Tolerance,
+    /// Multiple of a service's warm-up rate.
+    pub warmup_overshoot: f64,
+    /// Requests a second beside that.
+    pub warmup_slack: f64,
+}
+
+impl From<&GatewaySettings> for Bounds {
+    fn from(settings: &GatewaySettings) -> Self {
+        Self {
+            grace: Duration::from_millis(settings.grace_ms),
+            directory_ttl: Duration::from_millis(settings.directory_ttl_ms),
+            retry: retry::Bound {
+                ratio: settings.retry_ratio,
+                slack: settings.retry_slack,
+                window: Duration::from_secs_f64(settings.retry_window_s),
+            },
+            tolerance: Tolerance {
+                overshoot: settings.limit_overshoot,
+                slack: settings.limit_slack,
+                window: Duration::from_secs_f64(settings.limit_window_s),
+            },
+            warmup_overshoot: settings.warmup_overshoot,
+            warmup_slack: settings.warmup_slack,
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// Returns the key and the fault of the first value that cannot be.
+    pub fn fault(&self, data_centre: &str) -> Option<(&'static str, &'static str)> {
+        if super::dialect::platform(&self.platform).is_none() {
+            return Some(("platform", "there is no platform plug-in of this name"));
+        }
+        if !self.data_centres.contains_key(data_centre) {
+            return Some(("data_centres", "the instance's own data centre is missing"));
+        }
+        let numbers = [
+            ("retry_ratio", self.retry_ratio),
+            ("retry_slack", self.retry_slack),
+            ("limit_overshoot", self.limit_overshoot),
+            ("limit_slack", self.limit_slack),
+            ("warmup_overshoot", self.warmup_overshoot),
+            ("warmup_slack", self.warmup_slack),
+        ];
+        for (key, value) in numbers {
+            if !value.is_finite() || value < 0.0 {
+                return Some((key, "it must not be less than 0"));
+            }
+        }
+        let windows = [
+            ("retry_window_s", self.retry_window_s),
+            ("limit_window_s", self.limit_window_s),
+        ];
+        for (key, value) in windows {
+            if !value.is_finite() || value <= 0.0 || value > MAX_WINDOW_S {
+                return Some((key, "it must be greater than 0 and at most an hour"));
+            }
+        }
+        None
+    }
+}
+
+/// The longest window, in seconds.
+const MAX_WINDOW_S: f64 = 3_600.0;
+
+fn default_grace_ms() -> u64 {
+    8_000
+}
+
+fn default_directory_ttl_ms() -> u64 {
+    2_000
+}
+
+fn default_retry_window_s() -> f64 {
+    10.0
+}
+
+fn default_limit_window_s() -> f64 {
+    8.0
+}
+
+fn default_warmup_overshoot() -> f64 {
+    1.0
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -2,6 +2,8 @@
 
 mod parts;
 
+pub(crate) use self::parts::own_member;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,12 +93,12 @@
 }
 
 /// What the parts of an instance share.
-struct Base {
-    settings: Settings,
-    clock: Clock,
-    store: Arc<dyn Store>,
-    peers: Arc<dyn Peers>,
-    metrics: PrometheusHandle,
+pub(crate) struct Base {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) peers: Arc<dyn Peers>,
+    pub(crate) metrics: PrometheusHandle,
 }
 
 /// One instance.
@@ -228,7 +230,11 @@
     }
 }
 
-async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, KernelError> {
+/// Listens on the address of a setting.
+pub(crate) async fn bind(
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, KernelError> {
     TcpListener::bind(address)
         .await
         .map_err(|source| KernelError::Listen {
@@ -239,7 +245,7 @@
 }
 
 impl Base {
-    fn new(settings: Settings) -> Result<Self, KernelError> {
+    pub(crate) fn new(settings: Settings) -> Result<Self, KernelError> {
         let options = StoreOptions::at(settings.store.address.clone())
             .timeout(settings.store.timeout())
             .source(settings.instance.source)
--- a/src/kernel/parts.rs
+++ b/src/kernel/parts.rs
@@ -34,7 +34,8 @@
     http::client(base.settings.instance.source).map_err(|e| KernelError::Other(e.to_string()))
 }
 
-pub(super) fn own_member(base: &Base) -> Member {
+/// Returns this instance as others see it.
+pub(crate) fn own_member(base: &Base) -> Member {
     let instance = &base.settings.instance;
     Member {
         id: instance.id.clone(),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -14,7 +14,7 @@
 use crate::call::{Answer, Call};
 use crate::refusal::Refusal;
 
-pub use self::client::PeerClient;
+pub use self::client::{PeerClient, Relayed, RelayedBody};
 pub use self::server::{ForwardCount, PeerServer};
 
 mod client;
@@ -28,6 +28,9 @@
 /// The path of forwarded requests.
 const FORWARD_PATH: &str = "/v1/forward";
 
+/// The path of relayed messages.
+const RELAY_PATH: &str = "/v1/relay";
+
 /// Bytes a stream may have under way before its reader makes room.
 const WINDOW_BYTES: u32 = 1024 * 1024;
 
@@ -62,6 +65,44 @@
 
     /// Hands a request to an instance of another region.
     async fn forward(&self, to: SocketAddr, call: &Call) -> Result<Answer, Refusal>;
+
+    /// Sends a message that is answered by a head and a stream of bytes; waits for the head.
+    async fn relay(
+        &self,
+        to: SocketAddr,
+        _message: Bytes,
+        _wait: Duration,
+    ) -> Result<Relayed, PeerError> {
+        Err(PeerError::NotReached(format!(
+            "{to}: relays are not served"
+        )))
+    }
+}
+
+/// The bytes that follow the head of a relayed answer.
+#[async_trait]
+pub trait RelaySource: Send {
+    /// Returns the next bytes; `None` if the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// If the rest is missing.
+    async fn next(&mut self) -> Option<Result<Bytes, String>>;
+}
+
+/// The answer to a relayed message.
+pub struct RelayAnswer {
+    /// The head.
+    pub head: Bytes,
+    /// What follows it, if anything.
+    pub body: Option<Box<dyn RelaySource>>,
+}
+
+/// Answers relayed messages.
+#[async_trait]
+pub trait RelayHandler: Send + Sync {
+    /// Answers one message; it is dropped if the sender goes away.
+    async fn run(&self, message: Bytes) -> RelayAnswer;
 }
 
 /// Answers control messages of one kind.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 use h2::client::SendRequest;
-use h2::{Ping, PingPong, SendStream};
+use h2::{Ping, PingPong, RecvStream, SendStream};
 use http::{Method, Request};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
@@ -17,9 +17,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::call::{Answer, AnswerHead, Call, Chunk};
-use crate::peer::frame::{FrameReader, read_all, send_all};
+use crate::peer::frame::{FrameReader, LENGTH_BYTES, read_all, release, send_all};
 use crate::peer::wire::{WireCall, WireFrame};
-use crate::peer::{ASK_PATH, FORWARD_PATH, PeerError, Peers, WINDOW_BYTES, encode};
+use crate::peer::{
+    ASK_PATH, FORWARD_PATH, MAX_MESSAGE_BYTES, PeerError, Peers, RELAY_PATH, WINDOW_BYTES, encode,
+};
 use crate::refusal::{Code, Refusal};
 
 /// How long opening a connection may take.
@@ -311,6 +313,100 @@
             )),
         }
     }
+
+    async fn relay(
+        &self,
+        to: SocketAddr,
+        message: Bytes,
+        wait: Duration,
+    ) -> Result<Relayed, PeerError> {
+        let deadline = Instant::now() + wait;
+        let opened = tokio::time::timeout_at(deadline, self.open(to, RELAY_PATH.to_owned()));
+        let stream = opened
+            .await
+            .map_err(|_| PeerError::NotReached(format!("{to}: timed out")))??;
+        tokio::time::timeout_at(deadline, begin_relay(stream, message))
+            .await
+            .map_err(|_| PeerError::Unknown(format!("{to}: timed out")))?
+    }
+}
+
+/// The answer to a relayed message: its head, and the bytes on their way.
+pub struct Relayed {
+    /// The head.
+    pub head: Bytes,
+    /// What follows it.
+    pub body: RelayedBody,
+}
+
+/// The bytes that follow the head of a relayed answer; dropping them cancels the request.
+pub struct RelayedBody {
+    stream: RecvStream,
+    rest: Bytes,
+    _sender: SendStream<Bytes>,
+    _in_flight: InFlight,
+}
+
+impl RelayedBody {
+    /// Returns the next bytes; `None` if the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// If the stream broke before its end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, PeerError>> {
+        if !self.rest.is_empty() {
+            return Some(Ok(std::mem::take(&mut self.rest)));
+        }
+        match self.stream.data().await? {
+            Ok(data) => Some(release(&mut self.stream, data.len()).map(|()| data)),
+            Err(e) => Some(Err(PeerError::Unknown(e.to_string()))),
+        }
+    }
+}
+
+async fn begin_relay(stream: OpenStream, message: Bytes) -> Result<Relayed, PeerError> {
+    let OpenStream {
+        response,
+        body: mut sender,
+        in_flight,
+    } = stream;
+    send_all(&mut sender, message, true).await?;
+    let response = response
+        .await
+        .map_err(|e| PeerError::Unknown(e.to_string()))?;
+    if !response.status().is_success() {
+        return Err(PeerError::Refused(format!("status {}", response.status())));
+    }
+    let mut stream = response.into_body();
+    let mut buf = BytesMut::new();
+    let length = loop {
+        if let Some(mut prefix) = buf.get(..LENGTH_BYTES) {
+            let length = usize::try_from(prefix.get_u32()).unwrap_or(usize::MAX);
+            if length > MAX_MESSAGE_BYTES {
+                return Err(PeerError::Malformed(format!("head of {length} bytes")));
+            }
+            if buf.len() >= LENGTH_BYTES + length {
+                break length;
+            }
+        }
+        let Some(data) = stream.data().await else {
+            return Err(PeerError::Unknown("no head".to_owned()));
+        };
+        let data = data.map_err(|e| PeerError::Unknown(e.to_string()))?;
+        release(&mut stream, data.len())?;
+        buf.extend_from_slice(&data);
+    };
+    buf.advance(LENGTH_BYTES);
+    let head = buf.split_to(length).freeze();
+    Ok(Relayed {
+        head,
+        body: RelayedBody {
+            stream,
+            rest: buf.freeze(),
+            _sender: sender,
+            _in_flight: in_flight,
+        },
+    })
 }
 
 async fn finish_ask(stream: OpenStream, body: Bytes) -> Result<Bytes, PeerError> {
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -9,7 +9,8 @@
 
 use crate::peer::{MAX_MESSAGE_BYTES, PeerError, decode, encode};
 
-const LENGTH_BYTES: usize = 4;
+/// Bytes of the length before a frame.
+pub(super) const LENGTH_BYTES: usize = 4;
 
 /// Reads frames from a stream.
 pub(super) struct FrameReader {
@@ -127,7 +128,8 @@
     ))
 }
 
-fn release(stream: &mut RecvStream, bytes: usize) -> Result<(), PeerError> {
+/// Lets the sender send as many bytes again.
+pub(super) fn release(stream: &mut RecvStream, bytes: usize) -> Result<(), PeerError> {
     stream
         .flow_control()
         .release_capacity(bytes)
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 use h2::server::SendResponse;
 use h2::{Ping, PingPong, RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
@@ -15,10 +15,11 @@
 use tokio::time::{sleep, timeout};
 
 use crate::call::{Answer, Call};
-use crate::peer::frame::{read_all, send_all, send_frame};
+use crate::peer::frame::{LENGTH_BYTES, read_all, send_all, send_frame};
 use crate::peer::wire::{WireCall, WireFrame, WireHead};
 use crate::peer::{
-    ASK_PATH, FORWARD_PATH, ForwardHandler, PeerError, PeerHandler, WINDOW_BYTES, decode,
+    ASK_PATH, FORWARD_PATH, ForwardHandler, PeerError, PeerHandler, RELAY_PATH, RelayAnswer,
+    RelayHandler, WINDOW_BYTES, decode,
 };
 
 /// The most streams one peer may have open on a connection.
@@ -39,7 +40,8 @@
 /// Who answers which streams.
 pub struct PeerServer {
     asks: HashMap<&'static str, Arc<dyn PeerHandler>>,
-    forwards: Arc<dyn ForwardHandler>,
+    forwards: Option<Arc<dyn ForwardHandler>>,
+    relays: Option<Arc<dyn RelayHandler>>,
     count: ForwardCount,
 }
 
@@ -70,9 +72,18 @@
 impl PeerServer {
     /// Makes a server that hands forwarded requests to `forwards`.
     pub fn new(forwards: Arc<dyn ForwardHandler>) -> Self {
+        Self {
+            forwards: Some(forwards),
+            ..Self::relaying(None)
+        }
+    }
+
+    /// Makes a server that hands relayed messages to `relays` and takes no forwarded requests.
+    pub fn relaying(relays: Option<Arc<dyn RelayHandler>>) -> Self {
         Self {
             asks: HashMap::new(),
-            forwards,
+            forwards: None,
+            relays,
             count: ForwardCount::default(),
         }
     }
@@ -141,6 +152,8 @@
         // A failed answer means that the peer has gone; nobody is left to tell.
         let _ = if path == FORWARD_PATH {
             self.forward(&message, &mut respond).await
+        } else if path == RELAY_PATH {
+            self.relay(message, &mut respond).await
         } else {
             self.ask(&path, message, &mut respond).await
         };
@@ -168,6 +181,23 @@
         }
     }
 
+    async fn relay(
+        &self,
+        message: Bytes,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<(), PeerError> {
+        let Some(relays) = &self.relays else {
+            return answer_status(respond, StatusCode::NOT_FOUND);
+        };
+        let _guard = self.count.enter();
+        let mut stream = begin(respond, StatusCode::OK, false)?;
+        let answer = tokio::select! {
+            answer = relays.run(message) => answer,
+            _ = poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+        };
+        send_relayed(&mut stream, answer).await
+    }
+
     async fn forward(
         &self,
         message: &[u8],
@@ -177,10 +207,13 @@
         let Ok(call) = call else {
             return answer_status(respond, StatusCode::BAD_REQUEST);
         };
+        let Some(forwards) = &self.forwards else {
+            return answer_status(respond, StatusCode::NOT_FOUND);
+        };
         let _guard = self.count.enter();
         let mut stream = begin(respond, StatusCode::OK, false)?;
         let outcome = tokio::select! {
-            outcome = self.forwards.run(call) => outcome,
+            outcome = forwards.run(call) => outcome,
             _ = poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
         };
         match outcome {
@@ -190,6 +223,36 @@
     }
 }
 
+/// Sends the head and what follows; a peer that goes away cancels the request.
+async fn send_relayed(
+    stream: &mut SendStream<Bytes>,
+    answer: RelayAnswer,
+) -> Result<(), PeerError> {
+    let mut head = BytesMut::with_capacity(LENGTH_BYTES + answer.head.len());
+    let length = u32::try_from(answer.head.len())
+        .map_err(|_| PeerError::Malformed("head too long".to_owned()))?;
+    head.put_u32(length);
+    head.extend_from_slice(&answer.head);
+    let Some(mut body) = answer.body else {
+        return send_all(stream, head.freeze(), true).await;
+    };
+    send_all(stream, head.freeze(), false).await?;
+    loop {
+        let data = tokio::select! {
+            data = body.next() => data,
+            _ = poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+        };
+        match data {
+            Some(Ok(data)) => send_all(stream, data, false).await?,
+            Some(Err(_)) => {
+                stream.send_reset(h2::Reason::INTERNAL_ERROR);
+                return Ok(());
+            }
+            None => return send_all(stream, Bytes::new(), true).await,
+        }
+    }
+}
+
 /// Sends an answer frame by frame; a peer that goes away cancels the request.
 async fn send_answer(stream: &mut SendStream<Bytes>, mut answer: Answer) -> Result<(), PeerError> {
     let head = WireFrame::Head(WireHead::from(&answer.head));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -33,6 +33,7 @@
 use smol_str::SmolStr;
 
 use crate::attempt;
+use crate::gateway::settings::GatewaySettings;
 use crate::id::{InstanceId, RegionId};
 use crate::limit;
 use crate::route::scorer;
@@ -46,8 +47,11 @@
     pub instance: InstanceSettings,
     /// Where the store is.
     pub store: StoreSettings,
-    /// Where the rest of the platform is.
+    /// Where the rest of the platform is; not needed with `gateway`.
+    #[serde(default)]
     pub platform: PlatformSettings,
+    /// The gateway for general routes, in place of the OpenAI interface.
+    pub gateway: Option<GatewaySettings>,
     /// The operators' interface.
     #[serde(default)]
     pub admin: AdminSettings,
@@ -110,7 +114,7 @@
 }
 
 /// Where the rest of the platform is.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// The address of the instance list.
@@ -302,7 +306,11 @@
         if self.store.timeout_ms == 0 {
             return at("store", "timeout_ms", "it must be greater than 0");
         }
-        if !self.platform.list.starts_with("http://") {
+        if let Some(gateway) = &self.gateway {
+            if let Some((key, message)) = gateway.fault(&i.data_centre) {
+                return at("gateway", key, message);
+            }
+        } else if !self.platform.list.starts_with("http://") {
             return at("platform", "list", "it must start with http://");
         }
         if self.log.level.parse::<log::LevelFilter>().is_err() {
--- a/src/store.rs
+++ b/src/store.rs
@@ -121,6 +121,31 @@
     /// The channel closes when the watch breaks; the caller starts another one.
     async fn watch(&self, prefix: &str) -> Result<mpsc::Receiver<WatchEvent>, StoreError>;
 
+    /// Reads all keys that start with `prefix`, with a store revision after which [`Store::changes`]
+    /// tells what this read may have missed.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the store does not tell revisions.
+    async fn list_at(&self, _prefix: &str) -> Result<(Vec<Entry>, i64), StoreError> {
+        Err(StoreError::Refused("lists have no revision".to_owned()))
+    }
+
+    /// Waits up to `wait` for changes after a revision; returns them with the revision to go on
+    /// from. A [`WatchEvent::Gap`] says that the history is gone.
+    ///
+    /// # Errors
+    ///
+    /// Refused if the store does not keep a history.
+    async fn changes(
+        &self,
+        _prefix: &str,
+        _after: i64,
+        _wait: Duration,
+    ) -> Result<(Vec<WatchEvent>, i64), StoreError> {
+        Err(StoreError::Refused("no history is kept".to_owned()))
+    }
+
     /// Returns what this instance has used of the store, if that is counted.
     fn usage(&self) -> Usage {
         Usage::default()
@@ -150,6 +175,21 @@
         }
     }
 
+    /// Returns the store's address.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns the time that one call may take.
+    pub fn call_timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Returns the address that connections come from, if it is set.
+    pub fn source_address(&self) -> Option<IpAddr> {
+        self.source
+    }
+
     /// Bounds the time of each call.
     #[must_use]
     pub fn timeout(mut self, timeout: Duration) -> Self {
--- a/src/store/budget.rs
+++ b/src/store/budget.rs
@@ -218,6 +218,22 @@
         Ok(rx)
     }
 
+    async fn list_at(&self, prefix: &str) -> Result<(Vec<Entry>, i64), StoreError> {
+        self.turn("read").await?;
+        counted("read", self.inner.list_at(prefix).await)
+    }
+
+    async fn changes(
+        &self,
+        prefix: &str,
+        after: i64,
+        wait: Duration,
+    ) -> Result<(Vec<WatchEvent>, i64), StoreError> {
+        self.turn("watch").await?;
+        let _waiting = Waiting::of(&self.shared);
+        counted("watch", self.inner.changes(prefix, after, wait).await)
+    }
+
     fn usage(&self) -> Usage {
         Usage {
             calls: self.shared.calls.load(Ordering::Relaxed),
--- a/src/target.rs
+++ b/src/target.rs
@@ -16,7 +16,7 @@
 use crate::call::{Answer, Call};
 use crate::id::{RegionId, RequestId, TargetId};
 
-pub use sse::{EventSplitter, EventTooLong, data_of, is_done};
+pub use sse::{EventSplitter, EventTooLong, data_of, id_of, is_done};
 
 /// Where a target is and what it is called.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/target/sse.rs
+++ b/src/target/sse.rs
@@ -60,6 +60,11 @@
         !self.buf.is_empty()
     }
 
+    /// Takes the bytes of an unfinished event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.take(self.buf.len())
+    }
+
     fn take(&mut self, end: usize) -> Bytes {
         self.scanned = 0;
         self.line_start = 0;
@@ -83,6 +88,19 @@
     data
 }
 
+/// Returns the identity of an event, if it has one.
+pub fn id_of(event: &[u8]) -> Option<&str> {
+    for line in event.split(|b| *b == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let Some(value) = line.strip_prefix(b"id:") else {
+            continue;
+        };
+        let value = value.strip_prefix(b" ").unwrap_or(value);
+        return std::str::from_utf8(value).ok();
+    }
+    None
+}
+
 /// Returns whether an event ends an OpenAI stream.
 pub fn is_done(event: &[u8]) -> bool {
     data_of(event) == DONE
