Take a share of the limits up again after a restart under the same name

A name belongs to one running instance, so the new run takes the place over and uses it as soon as the other holders have dropped the loans of the run that ended.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -32,6 +32,9 @@
 /// Least time to come back after, where a limit is used up; a share comes in meanwhile.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// A charge is made final as soon as a target answers, which takes no longer in ordinary load.
+const HOLD_TIME: Duration = Duration::from_secs(2);
+
 /// Callers who were refused together come back spread over this part more of their wait.
 const RETRY_SPREAD: f64 = 0.5;
 
@@ -232,6 +235,7 @@
             return Ok(Charge::Free);
         };
         let time_left = deadline.saturating_duration_since(Instant::now());
+        let time_left = time_left.min(HOLD_TIME);
         let bounds = self.0.bounds();
         self.0
             .quota
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,6 +30,10 @@
 /// Instances of a region that may fail to be reached before the region is given up.
 const MAX_PEERS: usize = 2;
 
+/// An instance that has just started neither knows the others nor what its former run has sent,
+/// and leaves cold targets to them.
+const YOUNG_TIME: Duration = Duration::from_secs(2);
+
 /// Time after which a caller is asked to come back where no target can take its request; crashed
 /// targets are left out for about as long.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
@@ -173,18 +177,29 @@
     fn choose(&self, job: &Job, tried: &[TargetId]) -> Option<Choice> {
         let world = self.world();
         let fleet = self.fleet();
-        let mut instances: Vec<&str> = fleet.live_in(&self.region).map(|m| m.id.as_str()).collect();
-        if !instances.contains(&self.id.as_str()) {
-            instances.push(self.id.as_str());
+        // An instance that is thought gone may still send, so all that are known count.
+        let mut instances: Vec<&str> = vec![self.id.as_str()];
+        let listed = world.instances.iter().map(|i| (&i.id, &i.region));
+        let members = fleet.members.iter().map(|m| (&m.id, &m.region));
+        for (id, region) in listed.chain(members) {
+            if *region == self.region && !instances.contains(&id.as_str()) {
+                instances.push(id.as_str());
+            }
         }
         let bounds = self.bounds();
+        let young = self.clock.now() < YOUNG_TIME;
+        let warmup = if young {
+            (0.0, 0.0)
+        } else {
+            (bounds.warmup_overshoot, bounds.warmup_slack)
+        };
         let want = Want {
             service: &job.service,
             prompt: &job.prompt,
             tried,
             me: self.id.as_str(),
             instances: &instances,
-            warmup: (bounds.warmup_overshoot, bounds.warmup_slack),
+            warmup,
         };
         let now = self.clock.now();
         self.pool()
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -74,9 +74,9 @@
     pub prompt: &'a [PromptPart],
     /// Targets that have been tried.
     pub tried: &'a [TargetId],
-    /// The instance and the live instances of its region, for splitting cold targets' bounds.
+    /// The instance.
     pub me: &'a str,
-    /// All live instances of the region.
+    /// All known instances of the region, which split what a cold target bears.
     pub instances: &'a [&'a str],
     /// Cold targets bear `warmup_per_s × overshoot + slack` requests a second.
     pub warmup: (f64, f64),
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Part of the bound that is used, as requests are counted elsewhere and a little later.
-const MARGIN: f64 = 0.7;
+const MARGIN: f64 = 0.9;
 
 /// The fleet-wide bound.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -19,7 +19,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time after which unanswered bytes or probes end a connection.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time between probes on a connection on which nothing comes.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -429,6 +429,14 @@
         returns
     }
 
+    /// Drops the loans from and to an instance whose run has ended without giving them back.
+    pub fn drop_loans_of(&mut self, now: Duration, ended: &InstanceId) {
+        self.advance(now);
+        self.borrowed.retain(|_, borrowed| borrowed.from != *ended);
+        self.lent.retain(|_, lent| lent.to != *ended);
+        self.resize();
+    }
+
     /// Gives back what is borrowed from an instance that needs it itself.
     pub fn give_back_to(&mut self, now: Duration, giver: &InstanceId) -> Vec<Return> {
         self.advance(now);
--- a/src/limit/keeper.rs
+++ b/src/limit/keeper.rs
@@ -40,6 +40,9 @@
 /// Time in which a peer answers a message that no request waits for.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// An instance that has just started may not know yet who lives.
+const YOUNG_TIME: Duration = Duration::from_secs(2);
+
 /// Starts the keeper; it ends with the last use of the shares.
 pub(super) fn start(shares: &Arc<Shares>) {
     let keeper = Keeper::spawn(Keeper {
@@ -114,6 +117,10 @@
             };
             self.next_read = shares.now() + interval.mul_f64(rand::random_range(0.5..1.0));
         }
+        if shares.share().has_inherited() && self.tell_ended(&shares).await {
+            shares.share().release_inherited();
+            apply_floor(&shares);
+        }
         self.ticks += 1;
         if self.ticks.is_multiple_of(LOAN_TICKS) {
             keep_loans(&shares).await;
@@ -130,6 +137,38 @@
 }
 
 impl Keeper {
+    /// Tells the other holders that this instance's earlier runs have ended; returns whether
+    /// their loans are out of use.
+    ///
+    /// Instances that are given up do not count: what they may still use is bounded by what the
+    /// earlier runs lent them, and is the price of a quick return.
+    async fn tell_ended(&self, shares: &Arc<Shares>) -> bool {
+        let mut holders = Vec::new();
+        if let Some(ledger) = shares.share().ledger() {
+            for holder in ledger.holders() {
+                if holder.id.instance != shares.parts.id {
+                    holders.push(holder.id.instance.clone());
+                }
+            }
+        }
+        let young = shares.now() < YOUNG_TIME;
+        let mut told = Vec::new();
+        for holder in holders {
+            match shares.live_address(&holder) {
+                Some(address) => told.push(address),
+                None if young => return false,
+                None => {}
+            }
+        }
+        let message = Message::Ended(shares.parts.id.clone());
+        let mut asked = Vec::new();
+        for address in told {
+            asked.push(shares.tell(address, &message, PEER_TIMEOUT));
+        }
+        let answers = join_all(asked).await;
+        answers.into_iter().all(|a| a == Ok(Answer::Noted))
+    }
+
     /// Reads the ledger and makes the changes that are due; returns whether none is left.
     async fn sync_ledger(&mut self, shares: &Arc<Shares>) -> bool {
         counter!("limpetstand_limit_store_calls_total", "call" => "read").increment(1);
--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -110,6 +110,21 @@
         });
     }
 
+    /// Gives a holder the parts of all earlier runs of its instance; returns how much that is.
+    ///
+    /// A name belongs to one running instance, so the earlier runs have ended.
+    pub fn take_over(&mut self, id: &HolderId, region: &RegionId) -> Part {
+        let earlier = |h: &Holder| h.id.instance == id.instance && h.id != *id;
+        let parts = self.holders.iter().filter(|h| earlier(h)).map(|h| h.part);
+        let inherited = parts.fold(Part::ZERO, Part::plus);
+        self.holders.retain(|h| !earlier(h));
+        self.join(id, region);
+        if let Some(holder) = self.active_mut(id) {
+            holder.part = holder.part.plus(inherited);
+        }
+        inherited
+    }
+
     /// Gives free parts to a holder, at most `wanted`.
     pub fn claim(&mut self, id: &HolderId, wanted: Part) {
         let free = self.free();
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -25,6 +25,8 @@
     Return(Vec<(OrganisationId, Return)>),
     /// Asks for a copy of the ledger.
     Copy,
+    /// Tells that the earlier runs of this instance have ended, and their loans with them.
+    Ended(InstanceId),
 }
 
 /// The answer to a message.
@@ -46,6 +48,7 @@
     Prolong(Vec<(OrganisationId, WireId)>),
     Return(Vec<(OrganisationId, WireReturn)>),
     Copy,
+    Ended(InstanceId),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -132,6 +135,7 @@
                 Self::Return(wire.collect())
             }
             Message::Copy => Self::Copy,
+            Message::Ended(instance) => Self::Ended(instance.clone()),
         }
     }
 }
@@ -151,6 +155,7 @@
                 Self::Return(returns)
             }
             WireMessage::Copy => Self::Copy,
+            WireMessage::Ended(instance) => Self::Ended(instance),
         })
     }
 }
--- a/src/limit/share.rs
+++ b/src/limit/share.rs
@@ -69,6 +69,10 @@
     pending: Vec<Pending>,
     absent_since: BTreeMap<HolderId, Duration>,
     closing_since: BTreeMap<HolderId, Duration>,
+    /// Whether the places of earlier runs are taken over at the first join.
+    takes_over: bool,
+    /// Taken over, but not to be used before others have dropped the earlier runs' loans.
+    inherited: Part,
 }
 
 impl Share {
@@ -82,9 +86,27 @@
             pending: Vec::new(),
             absent_since: BTreeMap::new(),
             closing_since: BTreeMap::new(),
+            takes_over: false,
+            inherited: Part::ZERO,
         }
     }
 
+    /// Takes the places of the instance's earlier runs over, which have ended.
+    pub fn taking_over(mut self) -> Self {
+        self.takes_over = true;
+        self
+    }
+
+    /// Returns whether a part taken over waits for [`Share::release_inherited`].
+    pub fn has_inherited(&self) -> bool {
+        !self.inherited.is_zero()
+    }
+
+    /// Notes that no other instance uses loans of the earlier runs any more.
+    pub fn release_inherited(&mut self) {
+        self.inherited = Part::ZERO;
+    }
+
     /// Returns the holder that this instance is.
     pub fn me(&self) -> &HolderId {
         &self.me
@@ -98,6 +120,7 @@
     /// Returns the part that this instance may use.
     pub fn floor(&self) -> Part {
         let known = self.ledger().map_or(Part::ZERO, |l| l.part(&self.me));
+        let known = known.minus(self.inherited);
         self.pending
             .iter()
             .fold(known, |floor, p| floor.min(p.part))
@@ -145,6 +168,9 @@
     pub fn propose(&mut self, now: Duration, around: &Surroundings) -> Option<Proposal> {
         let (expect, old) = self.base(around)?;
         let mut ledger = old.clone();
+        if self.takes_over && ledger.holder(&self.me).is_none() {
+            self.inherited = ledger.take_over(&self.me, &self.region);
+        }
         self.note_absent(now, &ledger, around);
         self.close_and_remove(now, &mut ledger, around);
         ledger.join(&self.me, &self.region);
@@ -183,7 +209,7 @@
     }
 
     fn proposal(&mut self, expect: Expect, ledger: Ledger) -> Proposal {
-        let floor = ledger.part(&self.me).min(self.floor());
+        let floor = ledger.part(&self.me).minus(self.inherited).min(self.floor());
         self.pending.push(Pending {
             expect,
             part: floor,
@@ -211,6 +237,9 @@
         };
         let closed = known.ledger.holder(&self.me).is_some_and(|h| h.closing);
         if closed {
+            // This run's own loans go on, so it takes nothing over.
+            self.takes_over = false;
+            self.inherited = Part::ZERO;
             self.me.incarnation = self.me.incarnation.wrapping_add(1);
         }
     }
@@ -291,6 +320,9 @@
         if lack.times(2, 1) <= even || ledger.free() >= step {
             return;
         }
+        if self.has_inherited() {
+            return;
+        }
         // Keep the even part, and what is lent and held.
         let spare = mine.minus(even.max(around.required));
         if spare < step {
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -46,17 +46,27 @@
 const PEERS_AT_ONCE: usize = 8;
 
 inventory::submit! {
-    LimiterPlugin { name: "shares", start }
+    LimiterPlugin { name: "shares", start: |parts| start(parts, false) }
 }
 
-fn start(parts: Parts) -> Started {
+// For instances whose names outlive their processes.
+inventory::submit! {
+    LimiterPlugin { name: "inherited-shares", start: |parts| start(parts, true) }
+}
+
+fn start(parts: Parts, takes_over: bool) -> Started {
     let me = HolderId {
         instance: parts.id.clone(),
         incarnation: rand::random(),
     };
+    let borrower = me.incarnation;
+    let mut share = Share::of(me, parts.region.clone());
+    if takes_over {
+        share = share.taking_over();
+    }
     let shares = Arc::new(Shares {
-        borrower: me.incarnation,
-        share: Mutex::new(Share::of(me, parts.region.clone())),
+        borrower,
+        share: Mutex::new(share),
         serial: AtomicU64::new(0),
         left: AtomicBool::new(false),
         book: RwLock::default(),
@@ -142,6 +152,14 @@
         Some(member.peer)
     }
 
+    /// Returns where to reach another instance that is not given up.
+    pub(super) fn live_address(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let fleet = self.parts.fleet.borrow();
+        let mut members = fleet.members.iter();
+        let member = members.find(|m| m.id == *instance && m.health != Health::Dead)?;
+        Some(member.peer)
+    }
+
     fn peers(&self, ring: Ring) -> Vec<(InstanceId, SocketAddr)> {
         let mut peers = Vec::new();
         for member in &self.parts.fleet.borrow().members {
@@ -405,6 +423,13 @@
             Message::Borrow(organisation, ask) => self.lend(&organisation, &ask),
             Message::Prolong(loans) => self.prolong(loans),
             Message::Return(returns) => self.take_back(&returns),
+            Message::Ended(instance) => {
+                let now = self.0.now();
+                for (_, cell) in self.0.all_cells() {
+                    cell.account().drop_loans_of(now, &instance);
+                }
+                Answer::Noted
+            }
             Message::Copy => {
                 let share = self.0.share();
                 Answer::Copy(share.copy().map(|(revision, l)| (revision, l.clone())))
