Refuse at once what would wait longer than its objective; model each target's backlog

Cause: while a region was down, the other targets read prompts without a pause, so streams generated a tenth of their usual rate and hundreds of requests ended at their deadline. Each target's backlog of reading is modelled now, and a request that would wait longer than about its objective everywhere is refused at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod instances;
 mod job;
 mod listen;
+pub mod overload;
 pub mod patience;
 pub mod pool;
 mod quota;
@@ -232,10 +233,12 @@
         }
     }
 
+    /// Returns the least wait for a request without a prompt here, in milliseconds.
     fn least_wait(&self, service: &SmolStr) -> Option<f64> {
-        let world = self.world();
-        let now = self.clock.now();
-        self.pool().least_wait(now, &world, &self.region, service)
+        self.with_want(service, &[], &[], |pool, now, world, want| {
+            pool.quote(now, world, &self.region, want, rand::random)
+        })
+        .map(|choice| choice.wait_ms)
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,17 +8,20 @@
 use http::{HeaderMap, HeaderName, Request};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use super::Gateway;
-use super::dialect::{Replied, Stamp};
+use super::dialect::{PromptPart, Replied, Stamp};
 use super::job::{Failure, Job, Reply};
+use super::overload;
 use super::patience;
-use super::pool::{self, Choice, Want};
+use super::pool::{self, Choice, Pool, Want};
 use super::region::{self, Regions};
 use super::relay::{WireHead, WireJob, WireOutcome, headers_from_wire, status_from_wire};
 use super::source::{SeatGuard, Source, TargetSource};
 use super::upstream::{Connection, SendError};
+use super::world::World;
 use crate::id::{RegionId, TargetId};
 use crate::journal;
 use crate::peer::{PeerError, decode, encode};
@@ -131,6 +134,9 @@
             if !first && job.attempts > 0 && !self.take_retry(job) {
                 return Err(last.unwrap_or_else(|| no_target(job)));
             }
+            if let Some(failure) = self.overloaded(job, &choice) {
+                return Err(failure);
+            }
             let outcome = self.attempt(job, &choice).await;
             let failure = match outcome {
                 Ok(reply) => return Ok(reply),
@@ -166,6 +172,18 @@
         }
     }
 
+    /// Refuses a request that would wait too long, unless it has been begun already.
+    fn overloaded(&self, job: &Job, choice: &Choice) -> Option<Failure> {
+        let longest = overload::longest_wait(job.objective, job.priority);
+        let wait = Duration::try_from_secs_f64(choice.wait_ms / 1_000.0).unwrap_or_default();
+        if job.attempts > 0 || wait <= longest {
+            return None;
+        }
+        let refusal = Refusal::not_run(Code::Overloaded, "the targets are behind")
+            .retry_after(overload::retry_after(wait, longest));
+        Some(self.failure(job, refusal))
+    }
+
     fn failure(&self, job: &Job, refusal: Refusal) -> Failure {
         Failure {
             refusal,
@@ -175,6 +193,22 @@
     }
 
     fn choose(&self, job: &Job, tried: &[TargetId]) -> Option<Choice> {
+        self.with_want(
+            &job.service,
+            &job.prompt,
+            tried,
+            |pool, now, world, want| pool.choose(now, world, &self.region, want, rand::random),
+        )
+    }
+
+    /// Asks the pool, with what the instance knows of its region.
+    pub(super) fn with_want<T>(
+        &self,
+        service: &SmolStr,
+        prompt: &[PromptPart],
+        tried: &[TargetId],
+        ask: impl FnOnce(&mut Pool, Duration, &World, &Want<'_>) -> T,
+    ) -> T {
         let world = self.world();
         let fleet = self.fleet();
         // An instance that is thought gone may still send, so all that are known count.
@@ -194,16 +228,14 @@
             (bounds.warmup_overshoot, bounds.warmup_slack)
         };
         let want = Want {
-            service: &job.service,
-            prompt: &job.prompt,
+            service,
+            prompt,
             tried,
             me: self.id.as_str(),
             instances: &instances,
             warmup,
         };
-        let now = self.clock.now();
-        self.pool()
-            .choose(now, &world, &self.region, &want, rand::random)
+        ask(&mut self.pool(), self.clock.now(), &world, &want)
     }
 
     /// Sends the request to one target and waits for the head of its answer.
@@ -232,12 +264,15 @@
         choice: &Choice,
         mut connection: Connection,
     ) -> Result<Reply, Miss> {
-        let unread = self.pool().sending(self.clock.now(), choice, &job.prompt);
+        let instances = self.fleet().live_in(&self.region).count();
+        let now = self.clock.now();
+        let unread = self.pool().sending(now, choice, &job.prompt, instances);
         let mut seat = SeatGuard::new(Arc::clone(self), choice.id.clone(), unread);
         let req = self.request(job, choice)?;
         let began = tokio::time::Instant::now();
         let left = job.attempts_left().saturating_sub(1);
-        let wait = patience::for_head(job.kind, job.objective, job.time_left(), left);
+        let expected = Duration::try_from_secs_f64(choice.cost_ms / 1_000.0).unwrap_or_default();
+        let wait = patience::for_head(job.kind, job.objective + expected, job.time_left(), left);
         journal::line("sent")
             .text("request", &job.id)
             .text("target", choice.id.as_str())
@@ -462,9 +497,18 @@
         regions
             .capacity
             .retain(|region, _| *region == self.region || fleet.live_in(region).next().is_some());
-        if let Some(wait) = self.least_wait(&job.service) {
-            regions.wait_ms.insert(self.region.clone(), wait);
-            self.ask_waits(&job.service, wait);
+        let quote = self.with_want(&job.service, &job.prompt, &[], |pool, now, world, want| {
+            pool.quote(now, world, &self.region, want, rand::random)
+        });
+        match quote {
+            Some(choice) => {
+                regions.wait_ms.insert(self.region.clone(), choice.wait_ms);
+                self.ask_waits(&job.service, choice.wait_ms);
+            }
+            // Cold targets may have no room left.
+            None => {
+                regions.capacity.remove(&self.region);
+            }
         }
         regions
     }
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -10,15 +10,15 @@
 /// Part of the objective after which an unanswered plain request is sent again.
 const PLAIN_PART: f64 = 0.8;
 
-/// Multiple of the objective after which an unanswered stream is begun elsewhere; engines with a
-/// long queue answer later than plain services.
-const STREAM_PART: f64 = 2.0;
+/// Multiple of the expected time after which an unanswered stream is begun elsewhere; engines
+/// with a long queue answer later than plain services.
+const STREAM_PART: f64 = 2.5;
 
 /// Silence in the middle of a stream after which another target goes on with it; callers leave
 /// after two seconds.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_400);
 
-/// Returns how long to wait for the head of an answer.
+/// Returns how long to wait for the head of an answer that is expected after `objective`.
 pub fn for_head(
     kind: RouteKind,
     objective: Duration,
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -17,9 +17,10 @@
 use super::world::World;
 use crate::id::{RegionId, TargetId};
 
-/// Milliseconds that an engine takes to read a prompt token: 1 / 50 tokens in a millisecond, as
-/// engines of the size in use do.
-const READ_MS_PER_TOKEN: f64 = 0.02;
+/// Milliseconds of an engine's time for a prompt token. Engines of the size in use read 40 to 50
+/// tokens in a millisecond; a part of the time is left to generating, which waits while prompts
+/// are read.
+const READ_MS_PER_TOKEN: f64 = 0.025;
 
 /// Milliseconds that each request waiting at a target delays the next one.
 const WAITING_MS: f64 = 30.0;
@@ -57,6 +58,9 @@
     born: u64,
     in_flight: u32,
     unread_tokens: u64,
+    /// Milliseconds of reading that lay before the target at `backlog_at`.
+    backlog_ms: f64,
+    backlog_at: Duration,
     load: Option<(Duration, u32, u32)>,
     failures: u32,
     ejected_until: Duration,
@@ -89,7 +93,9 @@
     pub id: TargetId,
     /// What its entry says.
     pub known: Known,
-    /// Expected wait, in milliseconds.
+    /// Expected wait before the target turns to the request, in milliseconds.
+    pub wait_ms: f64,
+    /// The same with the shared parts that it would have to read, in milliseconds.
     pub cost_ms: f64,
 }
 
@@ -102,6 +108,23 @@
 impl Pool {
     /// Chooses the target with the least expected wait; `draw` gives numbers from 0 to 1.
     pub fn choose(
+        &mut self,
+        now: Duration,
+        world: &World,
+        region: &RegionId,
+        want: &Want<'_>,
+        draw: impl FnMut() -> f64,
+    ) -> Option<Choice> {
+        let choice = self.quote(now, world, region, want, draw)?;
+        if choice.known.cold_until > now {
+            // Counted here, as other requests choose while this one connects.
+            self.seat(&choice.id, &choice.known).sent.note(now);
+        }
+        Some(choice)
+    }
+
+    /// Returns what [`Pool::choose`] would choose, without counting it as chosen.
+    pub fn quote(
         &mut self,
         now: Duration,
         world: &World,
@@ -123,7 +146,8 @@
             } else {
                 seat.unread(now, want.prompt)
             };
-            let cost_ms = seat.wait(now, known.entry.slots) + away + draw() * JITTER_MS;
+            let wait_ms = seat.wait(now, known.entry.slots);
+            let cost_ms = wait_ms + away + draw() * JITTER_MS;
             let slot = if seat.ejected_until > now {
                 &mut fallback
             } else {
@@ -135,41 +159,32 @@
             *slot = Some(Choice {
                 id: id.clone(),
                 known: known.clone(),
+                wait_ms,
                 cost_ms,
             });
         }
         best.or(fallback)
     }
 
-    /// Returns the least expected wait for a request without a prompt, in milliseconds.
-    pub fn least_wait(
+    /// Counts a request that is being sent.
+    ///
+    /// Each of the region's `instances` is taken to send as much as this one.
+    pub fn sending(
         &mut self,
         now: Duration,
-        world: &World,
-        region: &RegionId,
-        service: &SmolStr,
-    ) -> Option<f64> {
-        let mut least: Option<f64> = None;
-        for (id, known) in candidates(world, region, service) {
-            let seat = self.seat(id, known);
-            if seat.ejected_until > now {
-                continue;
-            }
-            let wait = seat.wait(now, known.entry.slots);
-            least = Some(least.map_or(wait, |l| l.min(wait)));
-        }
-        least
-    }
-
-    /// Counts a request that is being sent.
-    pub fn sending(&mut self, now: Duration, choice: &Choice, prompt: &[PromptPart]) -> u64 {
+        choice: &Choice,
+        prompt: &[PromptPart],
+        instances: usize,
+    ) -> u64 {
         let seat = self.seat(&choice.id, &choice.known);
         seat.in_flight += 1;
-        let tokens = seat.tokens_to_read(now, prompt);
+        let (own, missing) = seat.tokens_to_read(now, prompt);
+        let tokens = own + missing;
         seat.unread_tokens += tokens;
-        if choice.known.cold_until > now {
-            seat.sent.note(now);
-        }
+        // A shared part is read once, whichever instance sends it first.
+        let reading = reading_ms(own, instances) + reading_ms(missing, 1);
+        seat.backlog_ms = seat.backlog(now) + reading;
+        seat.backlog_at = now;
         if seat.parts.len() > MAX_PARTS {
             seat.parts.retain(|_, at| *at + PART_AGE > now);
         }
@@ -275,6 +290,12 @@
 }
 
 impl Seat {
+    /// Returns the reading that still lies before the target, in milliseconds.
+    fn backlog(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.backlog_at);
+        (self.backlog_ms - passed.as_secs_f64() * 1_000.0).max(0.0)
+    }
+
     fn wait(&self, now: Duration, slots: u32) -> f64 {
         let (running, waiting) = match self.load {
             Some((at, running, waiting)) if at + LOAD_AGE > now => (running, waiting),
@@ -282,7 +303,7 @@
         };
         let busy = running.max(self.in_flight);
         let full = if busy >= slots { FULL_MS } else { 0.0 };
-        let unread = tokens(self.unread_tokens) * READ_MS_PER_TOKEN;
+        let unread = reading_ms(self.unread_tokens, 1).max(self.backlog(now));
         let use_of_slots = f64::from(busy) / f64::from(slots.max(1));
         full + unread
             + f64::from(waiting) * WAITING_MS
@@ -302,15 +323,17 @@
         tokens(missing) * READ_MS_PER_TOKEN
     }
 
-    fn tokens_to_read(&self, now: Duration, prompt: &[PromptPart]) -> u64 {
+    /// Returns the tokens of the request's own part, and those of shared parts that do not lie
+    /// here.
+    fn tokens_to_read(&self, now: Duration, prompt: &[PromptPart]) -> (u64, u64) {
+        let own = prompt.last().map_or(0, |part| u64::from(part.tokens));
         let mut missing = 0;
-        let shared = shared(prompt).len();
-        for (i, part) in prompt.iter().enumerate() {
-            if i >= shared || !self.holds(now, part.id) {
+        for part in shared(prompt) {
+            if !self.holds(now, part.id) {
                 missing += u64::from(part.tokens);
             }
         }
-        missing
+        (own, missing)
     }
 
     fn holds(&self, now: Duration, part: u64) -> bool {
@@ -318,6 +341,11 @@
     }
 }
 
+/// Returns the time that prompt tokens take, if each instance sends as many.
+fn reading_ms(unread: u64, instances: usize) -> f64 {
+    tokens(unread) * READ_MS_PER_TOKEN * tokens(instances.max(1) as u64)
+}
+
 /// Returns the parts that requests share: all but the last.
 fn shared(prompt: &[PromptPart]) -> &[PromptPart] {
     &prompt[..prompt.len().saturating_sub(1)]
--- a/src/limit/share.rs
+++ b/src/limit/share.rs
@@ -209,7 +209,10 @@
     }
 
     fn proposal(&mut self, expect: Expect, ledger: Ledger) -> Proposal {
-        let floor = ledger.part(&self.me).minus(self.inherited).min(self.floor());
+        let floor = ledger
+            .part(&self.me)
+            .minus(self.inherited)
+            .min(self.floor());
         self.pending.push(Pending {
             expect,
             part: floor,
