--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -87,12 +87,13 @@
     /// If no target answers; says whether the request can have run.
     pub(super) async fn dispatch(self: &Arc<Self>, job: &mut Job) -> Result<Reply, Failure> {
         let mut tried: Vec<RegionId> = Vec::new();
+        let mut last: Option<Failure> = None;
         loop {
             let regions = self.regions(job);
             let chosen =
                 region::choose(&self.region, &job.regions, &tried, &regions, rand::random());
             let Some(chosen) = chosen else {
-                return Err(no_target(job));
+                return Err(last.unwrap_or_else(|| no_target(job)));
             };
             let outcome = if chosen == self.region {
                 self.run_here(job).await
@@ -115,6 +116,7 @@
                 return Err(failure);
             }
             tried.push(chosen);
+            last = Some(failure);
         }
     }
 
@@ -271,13 +273,13 @@
         let req = self.request(job, choice)?;
         let began = tokio::time::Instant::now();
         let left = job.attempts_left().saturating_sub(1);
-        let expected = Duration::try_from_secs_f64(choice.cost_ms / 1_000.0).unwrap_or_default();
+        let expected = Duration::try_from_secs_f64(choice.wait_ms / 1_000.0).unwrap_or_default();
         let wait = patience::for_head(job.kind, job.objective + expected, job.time_left(), left);
         journal::line("sent")
             .text("request", &job.id)
             .text("target", choice.id.as_str())
             .value("attempt", job.attempts + 1)
-            .value("expected_wait_ms", format_args!("{:.0}", choice.cost_ms))
+            .value("expected_wait_ms", format_args!("{:.0}", choice.wait_ms))
             .value("kept_connection", connection.was_kept())
             .ms("time_left_ms", job.time_left());
         let result = match timeout(wait, connection.send(req)).await {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -40,6 +40,12 @@
 /// A part read at a target counts as still lying there for this long.
 const PART_AGE: Duration = Duration::from_secs(10);
 
+/// Time over which the rate of reading is averaged.
+const RATE_TIME: Duration = Duration::from_secs(2);
+
+/// A target turns to this instance's requests for at least this part of its time.
+const LEAST_DRAIN: f64 = 0.2;
+
 /// Parts remembered for each target.
 const MAX_PARTS: usize = 2_048;
 
@@ -61,6 +67,10 @@
     /// Milliseconds of reading that lay before the target at `backlog_at`.
     backlog_ms: f64,
     backlog_at: Duration,
+    /// Tokens a second that this instance gives the target to read.
+    reading_rate: f64,
+    /// The part of the target's time that other instances leave to this one's backlog.
+    drain: f64,
     load: Option<(Duration, u32, u32)>,
     failures: u32,
     ejected_until: Duration,
@@ -95,7 +105,8 @@
     pub known: Known,
     /// Expected wait before the target turns to the request, in milliseconds.
     pub wait_ms: f64,
-    /// The same with the shared parts that it would have to read, in milliseconds.
+    /// The same with the shared parts that it would have to read and what its failures cost, in
+    /// milliseconds.
     pub cost_ms: f64,
 }
 
@@ -147,7 +158,8 @@
                 seat.unread(now, want.prompt)
             };
             let wait_ms = seat.wait(now, known.entry.slots);
-            let cost_ms = wait_ms + away + draw() * JITTER_MS;
+            let failing = seat.failure_rate * FAILING_MS;
+            let cost_ms = wait_ms + away + failing + draw() * JITTER_MS;
             let slot = if seat.ejected_until > now {
                 &mut fallback
             } else {
@@ -181,10 +193,7 @@
         let (own, missing) = seat.tokens_to_read(now, prompt);
         let tokens = own + missing;
         seat.unread_tokens += tokens;
-        // A shared part is read once, whichever instance sends it first.
-        let reading = reading_ms(own, instances) + reading_ms(missing, 1);
-        seat.backlog_ms = seat.backlog(now) + reading;
-        seat.backlog_at = now;
+        seat.add_backlog(now, own + missing, instances);
         if seat.parts.len() > MAX_PARTS {
             seat.parts.retain(|_, at| *at + PART_AGE > now);
         }
@@ -293,7 +302,21 @@
     /// Returns the reading that still lies before the target, in milliseconds.
     fn backlog(&self, now: Duration) -> f64 {
         let passed = now.saturating_sub(self.backlog_at);
-        (self.backlog_ms - passed.as_secs_f64() * 1_000.0).max(0.0)
+        (self.backlog_ms - passed.as_secs_f64() * 1_000.0 * self.drain).max(0.0)
+    }
+
+    /// Adds reading to the backlog; the other instances take as much of the target's time as this
+    /// one has taken lately.
+    fn add_backlog(&mut self, now: Duration, unread: u64, instances: usize) {
+        let backlog_ms = self.backlog(now) + reading_ms(unread);
+        let passed = now.saturating_sub(self.backlog_at).as_secs_f64();
+        self.reading_rate *= (-passed / RATE_TIME.as_secs_f64()).exp();
+        let others = tokens(instances.saturating_sub(1) as u64);
+        let taken = others * self.reading_rate * READ_MS_PER_TOKEN / 1_000.0;
+        self.drain = (1.0 - taken).max(LEAST_DRAIN);
+        self.reading_rate += tokens(unread) / RATE_TIME.as_secs_f64();
+        self.backlog_ms = backlog_ms;
+        self.backlog_at = now;
     }
 
     fn wait(&self, now: Duration, slots: u32) -> f64 {
@@ -303,12 +326,9 @@
         };
         let busy = running.max(self.in_flight);
         let full = if busy >= slots { FULL_MS } else { 0.0 };
-        let unread = reading_ms(self.unread_tokens, 1).max(self.backlog(now));
+        let unread = reading_ms(self.unread_tokens).max(self.backlog(now));
         let use_of_slots = f64::from(busy) / f64::from(slots.max(1));
-        full + unread
-            + f64::from(waiting) * WAITING_MS
-            + use_of_slots * WAITING_MS
-            + self.failure_rate * FAILING_MS
+        full + unread + f64::from(waiting) * WAITING_MS + use_of_slots * WAITING_MS
     }
 
     /// Returns the time to read the shared parts that do not lie here.
@@ -341,9 +361,9 @@
     }
 }
 
-/// Returns the time that prompt tokens take, if each instance sends as many.
-fn reading_ms(unread: u64, instances: usize) -> f64 {
-    tokens(unread) * READ_MS_PER_TOKEN * tokens(instances.max(1) as u64)
+/// Returns the time that prompt tokens take.
+fn reading_ms(unread: u64) -> f64 {
+    tokens(unread) * READ_MS_PER_TOKEN
 }
 
 /// Returns the parts that requests share: all but the last.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -31,12 +31,12 @@
 use crate::peer::PeerServer;
 use crate::settings::Settings;
 
-/// The least time between the announcement that an instance leaves and its end: clients keep an
-/// answer of the directory for about so long.
-const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+/// Time between the announcement that an instance leaves and the last request that it takes:
+/// clients keep an answer of the directory for about so long.
+const LEAVE_NOTICE: Duration = Duration::from_millis(2_500);
 
-/// Time before the end of the grace at which connections are closed.
-const CLOSE_BEFORE: Duration = Duration::from_millis(900);
+/// Time before the end of the grace at which requests that still run are given up.
+const CLOSE_BEFORE: Duration = Duration::from_millis(800);
 
 /// Time for the connections to end after their last answer.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
@@ -203,15 +203,13 @@
         gateway.leaving.store(true, Ordering::Release);
         self.announced.send_replace(true);
         self.membership.leave().await;
+        sleep(LEAVE_NOTICE).await;
+        // Later requests might not end within the grace.
+        stop.send_replace(true);
         let longest = gateway.bounds().grace.saturating_sub(CLOSE_BEFORE);
-        while began.elapsed() < longest {
-            let busy = gateway.in_flight.load(Ordering::Acquire);
-            if busy == 0 && began.elapsed() >= LEAVE_NOTICE {
-                break;
-            }
+        while began.elapsed() < longest && gateway.in_flight.load(Ordering::Acquire) > 0 {
             sleep(DRAIN_POLL).await;
         }
-        stop.send_replace(true);
         sleep(CLOSE_TIME).await;
         // What is not given up in time is taken back by the others.
         let _ = timeout(GIVE_UP_TIME, self.limiter.leave()).await;
