Test the gateway's decisions, the adapter, and the whole path through processes

Found on the way: an instance that leaves before its inherited share is cleared gave that part away although loans of its former run could still be in use (tests/ledger.rs, drawn case); it keeps the part now.

--- a/src/limit/share.rs
+++ b/src/limit/share.rs
@@ -187,9 +187,11 @@
         let expect = Expect::Revision(known.revision);
         let mut ledger = known.ledger.clone();
         let part = ledger.part(&self.me);
-        ledger.give_up(&self.me, part.minus(around.required));
+        // What earlier runs have lent may still be in use.
+        let kept = around.required.plus(self.inherited);
+        ledger.give_up(&self.me, part.minus(kept));
         ledger.close(&self.me);
-        if around.required.is_zero() {
+        if kept.is_zero() {
             ledger.remove(&self.me);
         }
         if ledger == known.ledger {
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,574 @@
+//! The decisions of the gateway for general routes, without a network.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use limpetstand::gateway::dialect::{PromptPart, Registered, WhichInstances};
+use limpetstand::gateway::pool::{Pool, Want};
+use limpetstand::gateway::region::{self, Regions};
+use limpetstand::gateway::registry::{Known, RETURN_TIME, Registry};
+use limpetstand::gateway::retry::{Bound, Budget};
+use limpetstand::gateway::routes::{Grant, Route, RouteKind, RouteTable, Service, Unit, allows};
+use limpetstand::gateway::tolerance::{Spent, Tolerance};
+use limpetstand::gateway::warmup::{self, Sent};
+use limpetstand::gateway::world::World;
+use limpetstand::gateway::{come_back, entries, overload, patience, status_of};
+use limpetstand::id::{RegionId, TargetId};
+use limpetstand::member::{Fleet, Health, Member};
+use limpetstand::refusal::{Code, Refusal};
+use proptest::prelude::*;
+use smol_str::SmolStr;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn route(host: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        services: services.iter().map(|(s, w)| ((*s).into(), *w)).collect(),
+        max_attempts: 2,
+        timeout: SECOND,
+        objective: SECOND,
+        priority: 0,
+        open: false,
+        homes: Vec::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("a.example", "/x/", &[("s", 1)]),
+        route("a.example", "/x/y/", &[("s", 1)]),
+        route("b.example", "/", &[("s", 1)]),
+    ];
+    let table = RouteTable::new(1, routes);
+    let found = |host, path| {
+        table
+            .find(host, path)
+            .map(|k| table.route(k).prefix.as_str())
+    };
+    assert_eq!(found("a.example", "/x/y/z"), Some("/x/y/"));
+    assert_eq!(found("A.Example:8080", "/x/yz"), Some("/x/"));
+    assert_eq!(found("a.example", "/x"), None);
+    assert_eq!(found("b.example", "/x/"), Some("/"));
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+#[test]
+fn services_are_drawn_by_weight() {
+    let route = route("h", "/", &[("a", 90), ("b", 10), ("c", 0)]);
+    let mut counts: HashMap<SmolStr, u32> = HashMap::new();
+    for i in 0..1_000 {
+        let service = route.service(f64::from(i) / 1_000.0).expect("a service");
+        *counts.entry(service.clone()).or_default() += 1;
+    }
+    assert_eq!(counts.get("a"), Some(&900));
+    assert_eq!(counts.get("b"), Some(&100));
+    assert_eq!(counts.get("c"), None);
+}
+
+#[test]
+fn no_homes_allow_every_region() {
+    let north: RegionId = "north".into();
+    assert!(allows(&[], &north));
+    assert!(allows(&["north".into()], &north));
+    assert!(!allows(&["south".into()], &north));
+}
+
+#[test]
+fn a_request_costs_its_prompt_and_what_it_may_generate() {
+    let grant = |unit| Grant {
+        priority: None,
+        rate: 1,
+        burst: 1,
+        unit,
+        homes: Vec::new(),
+    };
+    let tokens = grant(Unit::Tokens { plain: 200 });
+    assert_eq!(tokens.cost(Some((1_460, 80))), 1_540);
+    assert_eq!(tokens.cost(None), 200);
+    assert_eq!(grant(Unit::Requests).cost(Some((1_460, 80))), 1);
+}
+
+fn registered(service: &str, data_centre: &str, born: u64) -> Registered {
+    Registered {
+        service: service.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: data_centre.into(),
+        slots: 4,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        born,
+    }
+}
+
+fn one(id: &str, entry: Registered) -> BTreeMap<TargetId, Registered> {
+    BTreeMap::from([(id.into(), entry)])
+}
+
+#[test]
+fn a_target_that_vanishes_with_the_store_there_is_gone_at_once() {
+    let mut registry = Registry::default();
+    registry.learn(ms(0), one("t", registered("s", "a", 1)), |_| SECOND);
+    registry.learn(ms(5_000), BTreeMap::new(), |_| SECOND);
+    assert!(registry.targets().is_empty());
+}
+
+#[test]
+fn a_target_that_lapsed_with_the_store_is_kept_until_it_must_be_back() {
+    let mut registry = Registry::default();
+    registry.learn(ms(0), one("t", registered("s", "a", 1)), |_| SECOND);
+    registry.store_is_away(ms(5_000));
+    registry.learn(ms(5_100), BTreeMap::new(), |_| SECOND);
+    assert_eq!(registry.targets().len(), 1, "kept");
+    assert!(!registry.expire(ms(6_900)));
+    assert!(registry.expire(ms(5_100) + RETURN_TIME + ms(1)));
+    assert!(registry.targets().is_empty());
+}
+
+#[test]
+fn a_lapsed_target_that_comes_back_is_not_taken_for_a_new_one() {
+    let mut registry = Registry::default();
+    let entry = registered("s", "a", 1);
+    registry.learn(ms(0), one("t", entry.clone()), |_| SECOND);
+    registry.store_is_away(ms(5_000));
+    registry.learn(ms(5_100), BTreeMap::new(), |_| SECOND);
+    registry.learn(ms(6_000), one("t", entry), |_| SECOND);
+    let known = &registry.targets()[&"t".into()];
+    assert_eq!(known.vanished, None);
+    assert!(known.cold_until <= ms(6_000), "still warm");
+}
+
+#[test]
+fn a_new_and_a_restarted_target_are_cold() {
+    let mut registry = Registry::default();
+    registry.learn(ms(0), one("old", registered("s", "a", 1)), |_| SECOND * 3);
+    assert!(registry.targets()[&"old".into()].cold_until.is_zero());
+    registry.learn(ms(1_000), one("old", registered("s", "a", 2)), |_| {
+        SECOND * 3
+    });
+    assert_eq!(registry.targets()[&"old".into()].cold_until, ms(4_000));
+    registry.learn(ms(2_000), one("new", registered("s", "a", 1)), |_| {
+        SECOND * 3
+    });
+    assert_eq!(registry.targets()[&"new".into()].cold_until, ms(5_000));
+}
+
+#[test]
+fn the_end_of_an_evacuation_leaves_targets_cold() {
+    let mut registry = Registry::default();
+    registry.learn(ms(0), one("t", registered("s", "a", 1)), |_| SECOND);
+    registry.chill("b", ms(9_000));
+    assert!(registry.targets()[&"t".into()].cold_until.is_zero());
+    registry.chill("a", ms(9_000));
+    assert_eq!(registry.targets()[&"t".into()].cold_until, ms(9_000));
+}
+
+proptest! {
+    /// All instances together never send a cold target more than its bound.
+    #[test]
+    fn shares_of_a_cold_target_keep_its_bound(bound in 0.0..40.0_f64, count in 1..60_usize) {
+        let names: Vec<String> = (0..count).map(|i| format!("instance-{i}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let sum: usize = names
+            .iter()
+            .map(|me| warmup::share(bound, "target", me, &names))
+            .sum();
+        prop_assert!(sum as f64 <= bound);
+        // Nothing much is left unused either.
+        prop_assert!(bound < 1.0 || sum * 2 > bound as usize);
+    }
+
+    /// All instances together keep to the fleet-wide retry budget.
+    #[test]
+    fn retries_of_all_instances_keep_the_budget(
+        requests in proptest::collection::vec((0..9_usize, 0..10_000_u64), 0..400),
+        wishes in 0..200_usize,
+    ) {
+        let bound = Bound { ratio: 0.2, slack: 58.0, window: SECOND * 10 };
+        let mut budgets = vec![Budget::default(); 9];
+        let total = requests.len();
+        let mut sorted = requests;
+        sorted.sort_by_key(|(_, at)| *at);
+        for (i, at) in sorted {
+            budgets[i].request(ms(at), &bound);
+        }
+        let mut taken = 0;
+        for i in 0..wishes {
+            taken += usize::from(budgets[i % 9].take(ms(10_000), &bound, 9));
+        }
+        prop_assert!(taken as f64 <= 0.2 * total as f64 + 58.0);
+    }
+
+    /// All instances together keep to the tolerance in any window.
+    #[test]
+    fn tolerance_of_all_instances_is_bounded(
+        takes in proptest::collection::vec((0..9_usize, 0..20_000_u64, 1..20_000_u64), 0..200),
+    ) {
+        let tolerance = Tolerance { overshoot: 0.1, slack: 110_000.0, window: SECOND * 8 };
+        let terms = (30_000, 30_000);
+        let mut spent = vec![Spent::default(); 9];
+        let mut sorted = takes;
+        sorted.sort_by_key(|(_, at, _)| *at);
+        let mut given: Vec<(u64, u64)> = Vec::new();
+        for (i, at, units) in sorted {
+            if spent[i].take(ms(at), units, terms, &tolerance, 9) {
+                given.push((at, units));
+            }
+        }
+        for (from, _) in &given {
+            let window = given.iter().filter(|(at, _)| (*from..from + 8_000).contains(at));
+            let sum: u64 = window.map(|(_, units)| units).sum();
+            prop_assert!(sum as f64 <= 0.1 * 9.0 * 30_000.0 + 110_000.0);
+        }
+    }
+}
+
+#[test]
+fn without_a_tolerance_nothing_is_tolerated() {
+    let none = Tolerance {
+        overshoot: 0.0,
+        slack: 0.0,
+        window: SECOND,
+    };
+    assert!(!Spent::default().take(SECOND, 1, (1_000, 1_000), &none, 1));
+}
+
+#[test]
+fn a_cold_targets_second_is_counted_when_the_request_is_sent() {
+    let mut sent = Sent::default();
+    assert!(sent.has_room(ms(0), 1));
+    sent.note(ms(0));
+    assert!(!sent.has_room(ms(1_000), 1));
+    assert!(sent.has_room(ms(1_300), 1));
+}
+
+/// Targets `t0`, `t1`, … of the service `s` in one region.
+fn world(targets: u32, cold_until: Duration) -> World {
+    let mut world = World::default();
+    world.regions.insert("here-a".into(), "here".into());
+    for i in 0..targets {
+        let known = Known {
+            entry: registered("s", "here-a", 1),
+            cold_until,
+            vanished: None,
+        };
+        world.targets.insert(format!("t{i}").into(), known);
+    }
+    let mut table = RouteTable::new(1, Vec::new());
+    let service = Service {
+        warmup: SECOND * 3,
+        warmup_per_s: 2.0,
+        engine: None,
+    };
+    table.services.insert("s".into(), service);
+    world.table = Some(Arc::new(table));
+    world
+}
+
+fn prompt(session: u64, own: u64) -> Vec<PromptPart> {
+    vec![
+        PromptPart {
+            id: 1,
+            tokens: 2_500,
+        },
+        PromptPart {
+            id: session,
+            tokens: 3_800,
+        },
+        PromptPart {
+            id: own,
+            tokens: 2_900,
+        },
+    ]
+}
+
+static SERVICE: SmolStr = SmolStr::new_static("s");
+
+fn want<'a>(prompt: &'a [PromptPart], tried: &'a [TargetId]) -> Want<'a> {
+    Want {
+        service: &SERVICE,
+        prompt,
+        tried,
+        me: "i0",
+        instances: &["i0"],
+        warmup: (1.0, 0.0),
+    }
+}
+
+#[test]
+fn a_session_goes_where_its_prompt_lies_until_that_target_is_behind() {
+    let world = world(4, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let mut first = None;
+    for i in 0..20 {
+        let prompt = prompt(77, 1_000 + i);
+        let now = ms(i * 500);
+        let choice = pool
+            .choose(now, &world, &here, &want(&prompt, &[]), || 0.5)
+            .expect("a target");
+        assert_eq!(first.get_or_insert_with(|| choice.id.clone()), &choice.id);
+        let unread = pool.sending(now, &choice, &prompt, 1);
+        pool.began(&choice.id, unread);
+        pool.ended(&choice.id);
+    }
+    // Many at once are not left to wait for one target.
+    let mut used = std::collections::BTreeSet::new();
+    for i in 0..20 {
+        let prompt = prompt(77, 2_000 + i);
+        let choice = pool
+            .choose(ms(20_000), &world, &here, &want(&prompt, &[]), || 0.5)
+            .expect("a target");
+        pool.sending(ms(20_000), &choice, &prompt, 1);
+        used.insert(choice.id);
+    }
+    assert_eq!(used.len(), 4);
+}
+
+#[test]
+fn two_requests_at_once_do_not_share_a_cold_targets_last_place() {
+    let world = world(1, SECOND * 60);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let mut chosen = 0;
+    for _ in 0..5 {
+        // None of them is sent yet: all are still connecting.
+        let choice = pool.choose(SECOND, &world, &here, &want(&[], &[]), || 0.5);
+        chosen += u32::from(choice.is_some());
+    }
+    assert_eq!(chosen, 2);
+}
+
+#[test]
+fn a_target_that_answers_badly_is_avoided_but_does_not_look_busy() {
+    let world = world(2, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let bad: TargetId = "t0".into();
+    let first = pool.choose(SECOND, &world, &here, &want(&[], &["t1".into()]), || 0.5);
+    assert_eq!(first.map(|c| c.id), Some(bad.clone()));
+    for _ in 0..20 {
+        pool.answered_badly(&bad);
+    }
+    for _ in 0..10 {
+        let choice = pool.choose(SECOND, &world, &here, &want(&[], &[]), || 0.5);
+        assert_eq!(choice.map(|c| c.id), Some("t1".into()));
+    }
+    let only = pool.choose(SECOND, &world, &here, &want(&[], &["t1".into()]), || 0.5);
+    assert!(only.is_some_and(|c| c.wait_ms < 1.0), "it has no queue");
+}
+
+#[test]
+fn a_failing_target_is_left_out_for_a_while_and_used_if_there_is_no_other() {
+    let world = world(2, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let choose = |pool: &mut Pool, now, tried: &[TargetId]| {
+        pool.choose(now, &world, &here, &want(&[], tried), || 0.5)
+            .map(|c| c.id)
+    };
+    choose(&mut pool, ms(0), &[]);
+    let time = pool.failed(ms(0), &"t0".into());
+    assert_eq!(time, ms(500));
+    assert_eq!(choose(&mut pool, ms(100), &[]), Some("t1".into()));
+    assert_eq!(
+        choose(&mut pool, ms(100), &["t1".into()]),
+        Some("t0".into())
+    );
+    assert_eq!(pool.failed(ms(600), &"t0".into()), ms(1_000));
+    pool.succeeded(&"t0".into());
+    assert_eq!(pool.failed(ms(700), &"t0".into()), ms(500));
+}
+
+#[test]
+fn evacuated_and_leaving_targets_get_nothing() {
+    let mut world = world(2, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    if let Some(known) = world.targets.get_mut(&"t0".into()) {
+        known.entry.leaving = true;
+    }
+    for _ in 0..5 {
+        let choice = pool.choose(SECOND, &world, &here, &want(&[], &[]), || 0.5);
+        assert_eq!(choice.map(|c| c.id), Some("t1".into()));
+    }
+    world.evacuated.insert("here-a".into());
+    assert!(
+        pool.choose(SECOND, &world, &here, &want(&[], &[]), || 0.5)
+            .is_none()
+    );
+}
+
+/// The load of a lost region: half as much again as the targets can read. What is admitted must
+/// be answered about in time, and the targets kept busy.
+#[test]
+fn under_twice_the_load_what_is_admitted_does_not_wait_long() {
+    let world = world(4, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let objective = SECOND;
+    let longest = overload::longest_wait(objective, 1);
+    // Each target reads 40 tokens in a millisecond.
+    let mut free_at: HashMap<TargetId, f64> = HashMap::new();
+    let (mut admitted, mut worst, mut read_ms) = (0, 0.0_f64, 0.0);
+    let per_request_ms = 2_900.0 / 40.0;
+    let gap_ms = per_request_ms / 4.0 / 2.0;
+    let requests = 2_000_u32;
+    for i in 0..requests {
+        let now_ms = f64::from(i) * gap_ms;
+        let now = Duration::from_secs_f64(now_ms / 1_000.0);
+        let prompt = prompt(u64::from(i % 40) + 10, u64::from(i) + 10_000);
+        let choice = pool
+            .choose(now, &world, &here, &want(&prompt, &[]), || 0.5)
+            .expect("a target");
+        if choice.wait_ms > longest.as_secs_f64() * 1_000.0 {
+            continue;
+        }
+        admitted += 1;
+        let unread = pool.sending(now, &choice, &prompt, 1);
+        let free = free_at.entry(choice.id.clone()).or_default();
+        let starts = free.max(now_ms);
+        worst = worst.max(starts - now_ms);
+        *free = starts + per_request_ms;
+        read_ms += per_request_ms;
+        // The answer begins at once as far as the pool can tell: only its own model holds it back.
+        pool.began(&choice.id, unread);
+        pool.ended(&choice.id);
+    }
+    let span_ms = f64::from(requests) * gap_ms;
+    let busy = read_ms / (4.0 * span_ms);
+    assert!(admitted < requests, "some must be refused");
+    assert!(worst <= 1_000.0, "waited {worst} ms");
+    assert!(busy >= 0.6, "the targets were busy {busy} of the time");
+}
+
+#[test]
+fn refused_callers_come_back_later_the_longer_the_queue_and_spread() {
+    let longest = ms(800);
+    let short = overload::retry_after(ms(900), longest);
+    let long = overload::retry_after(ms(1_700), longest);
+    assert!(short < long);
+    assert!(overload::retry_after(SECOND * 60, longest) <= ms(1_600));
+    assert!(overload::longest_wait(SECOND, 0) > overload::longest_wait(SECOND, 1));
+    assert_eq!(come_back(SECOND, 0.0), SECOND);
+    assert_eq!(come_back(SECOND, 1.0), ms(1_500));
+}
+
+#[test]
+fn a_status_promises_only_what_is_known() {
+    let refused = |code| status_of(&Refusal::not_run(code, ""));
+    let unknown = |code| status_of(&Refusal::unknown(code, ""));
+    for code in [
+        Code::NoTarget,
+        Code::Overloaded,
+        Code::DeadlineExceeded,
+        Code::TargetFailed,
+    ] {
+        assert_eq!(refused(code), 503);
+        assert!(matches!(unknown(code), 502 | 504));
+    }
+    assert_eq!(refused(Code::RateExceeded), 429);
+    assert_eq!(refused(Code::BadKey), 401);
+    assert_eq!(refused(Code::NoSuchRoute), 404);
+    assert_eq!(refused(Code::NotReady), 503);
+}
+
+#[test]
+fn only_what_may_be_repeated_is_given_up_before_its_deadline() {
+    let left = SECOND * 5;
+    for kind in [RouteKind::Once, RouteKind::Stream] {
+        assert_eq!(patience::for_head(kind, SECOND, left, 3), left);
+        assert_eq!(patience::for_bytes(kind, 3), None);
+    }
+    assert!(patience::for_head(RouteKind::Idempotent, SECOND, left, 1) < SECOND);
+    assert_eq!(
+        patience::for_head(RouteKind::Idempotent, SECOND, left, 0),
+        left
+    );
+    assert!(patience::for_bytes(RouteKind::ResumableStream, 1) < Some(SECOND * 2));
+    assert_eq!(patience::for_bytes(RouteKind::ResumableStream, 0), None);
+}
+
+fn regions(capacity: &[(&str, u32)], waits: &[(&str, f64)]) -> Regions {
+    Regions {
+        capacity: capacity.iter().map(|(r, n)| ((*r).into(), *n)).collect(),
+        wait_ms: waits.iter().map(|(r, w)| ((*r).into(), *w)).collect(),
+    }
+}
+
+#[test]
+fn a_request_leaves_its_region_only_for_a_gain() {
+    let here: RegionId = "here".into();
+    let all: Vec<RegionId> = vec!["here".into(), "near".into(), "far".into()];
+    let both = [("here", 3), ("near", 3)];
+    let choose = |regions: &Regions, allowed: &[RegionId], tried: &[RegionId]| {
+        region::choose(&here, allowed, tried, regions, 0.5)
+    };
+    assert_eq!(
+        choose(&regions(&both, &[("here", 50.0)]), &all, &[]),
+        Some("here".into())
+    );
+    let known = regions(&both, &[("here", 900.0), ("near", 20.0)]);
+    assert_eq!(choose(&known, &all, &[]), Some("near".into()));
+    let unknown = regions(&both, &[("here", 900.0)]);
+    assert_eq!(choose(&unknown, &all, &[]), Some("here".into()));
+    let worse = regions(&both, &[("here", 900.0), ("near", 800.0)]);
+    assert_eq!(choose(&worse, &all, &[]), Some("here".into()));
+    assert_eq!(choose(&known, &["here".into()], &[]), Some("here".into()));
+    assert_eq!(
+        choose(&regions(&[("near", 1)], &[]), &all, &[]),
+        Some("near".into())
+    );
+    assert_eq!(choose(&known, &all, &["here".into()]), Some("near".into()));
+    assert_eq!(choose(&known, &["far".into()], &[]), None);
+}
+
+fn member(id: &str, data_centre: &str, region: &str, health: Health) -> Member {
+    let port = id.bytes().fold(0, |port, b| port * 10 + u16::from(b));
+    Member {
+        id: id.into(),
+        incarnation: 1,
+        front: SocketAddr::from(([127, 0, 0, 1], port)),
+        peer: SocketAddr::from(([127, 0, 0, 2], port)),
+        region: region.into(),
+        data_centre: data_centre.into(),
+        health,
+    }
+}
+
+#[test]
+fn the_directory_names_live_instances_nearby() {
+    let fleet = Fleet {
+        members: vec![
+            member("a1", "a", "north", Health::Live),
+            member("a2", "a", "north", Health::Live),
+            member("a3", "a", "north", Health::Leaving),
+            member("b1", "b", "north", Health::Live),
+            member("c1", "c", "south", Health::Live),
+            member("c2", "c", "south", Health::Dead),
+        ],
+        targets: Vec::new(),
+    };
+    let asked = |data_centre: &str, region: &str| WhichInstances {
+        region: region.into(),
+        data_centre: data_centre.into(),
+    };
+    let front = |i: usize| fleet.members[i].front;
+    assert_eq!(entries(&fleet, &asked("a", "north")), [front(0), front(1)]);
+    assert_eq!(
+        entries(&fleet, &asked("b", "north")),
+        [front(3), front(0), front(1)]
+    );
+    assert_eq!(entries(&fleet, &asked("c", "south")), [front(4)]);
+    assert_eq!(entries(&fleet, &asked("d", "west")).len(), 4);
+}
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -33,6 +33,8 @@
     Wait(u64),
     Replace(usize),
     Leave(usize),
+    /// The others have dropped the loans of an instance's ended runs.
+    Release(usize),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -49,7 +51,8 @@
         2 => Just(Step::Land),
         3 => (1u64..120).prop_map(Step::Wait),
         1 => i.clone().prop_map(Step::Replace),
-        1 => i.prop_map(Step::Leave),
+        1 => i.clone().prop_map(Step::Leave),
+        2 => i.prop_map(Step::Release),
     ]
 }
 
@@ -58,15 +61,18 @@
     shares: Vec<Share>,
     runs: Vec<u64>,
     /// Floors of ended runs, with the time of their end: loans of theirs may still be in use.
-    ended: Vec<(Part, Duration)>,
+    ended: Vec<(usize, Part, Duration)>,
+    /// Whether a run takes the place of the one before over, under the same name.
+    inherits: bool,
     stored: Option<(i64, Ledger)>,
     revision: i64,
     late: Vec<Proposal>,
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(inherits: bool) -> Self {
         let mut fleet = Self {
+            inherits,
             now: Duration::ZERO,
             shares: Vec::new(),
             runs: vec![0; INSTANCES],
@@ -83,14 +89,23 @@
 
     fn fresh(&self, i: usize) -> Share {
         let run = (i as u64) + 100 * self.runs[i];
-        Share::of(holder(&format!("i{i}-{}", self.runs[i]), run), region(i))
+        let share = Share::of(holder(&self.name(i), run), region(i));
+        if self.inherits {
+            share.taking_over()
+        } else {
+            share
+        }
+    }
+
+    fn name(&self, i: usize) -> String {
+        if self.inherits {
+            return format!("i{i}");
+        }
+        format!("i{i}-{}", self.runs[i])
     }
 
     fn around(&self, lent: u8) -> Surroundings {
-        let listed = (0..INSTANCES).map(|i| {
-            let name = format!("i{i}-{}", self.runs[i]);
-            (InstanceId::from(name), region(i))
-        });
+        let listed = (0..INSTANCES).map(|i| (InstanceId::from(self.name(i)), region(i)));
         Surroundings {
             listed: listed.collect(),
             required: Part::one_of(INSTANCES * 2).times(lent.into(), 2),
@@ -147,6 +162,7 @@
                     self.swap(&proposal);
                 }
             }
+            Step::Release(i) => self.release(i),
             Step::Wait(seconds) => self.now += Duration::from_secs(seconds),
             Step::Replace(i) => self.replace(i),
             Step::Leave(i) => {
@@ -159,8 +175,15 @@
         }
     }
 
+    fn release(&mut self, i: usize) {
+        if self.shares[i].has_inherited() {
+            self.ended.retain(|(ended, _, _)| *ended != i);
+            self.shares[i].release_inherited();
+        }
+    }
+
     fn replace(&mut self, i: usize) {
-        self.ended.push((self.shares[i].floor(), self.now));
+        self.ended.push((i, self.shares[i].floor(), self.now));
         self.runs[i] += 1;
         self.shares[i] = self.fresh(i);
     }
@@ -171,7 +194,7 @@
         for share in &self.shares {
             sum = sum.plus(share.floor());
         }
-        for (floor, end) in &self.ended {
+        for (_, floor, end) in &self.ended {
             if self.now - *end < MAX_TERM {
                 sum = sum.plus(*floor);
             }
@@ -196,7 +219,19 @@
 
     #[test]
     fn floors_in_use_never_add_up_to_more_than_the_whole(steps in vec(step(), 1..120)) {
-        let mut fleet = Fleet::new();
+        let mut fleet = Fleet::new(false);
+        for step in steps {
+            let shown = format!("{step:?}");
+            fleet.apply(step);
+            prop_assert!(fleet.in_use() <= Part::WHOLE, "{:?} after {}", fleet.in_use(), shown);
+        }
+    }
+
+    #[test]
+    fn inherited_floors_in_use_never_add_up_to_more_than_the_whole(
+        steps in vec(step(), 1..120),
+    ) {
+        let mut fleet = Fleet::new(true);
         for step in steps {
             let shown = format!("{step:?}");
             fleet.apply(step);
@@ -206,7 +241,7 @@
 
     #[test]
     fn a_quiet_fleet_comes_to_use_nearly_the_whole(steps in vec(step(), 1..60)) {
-        let mut fleet = Fleet::new();
+        let mut fleet = Fleet::new(false);
         for step in steps {
             fleet.apply(step);
         }
@@ -224,9 +259,35 @@
     }
 }
 
+#[test]
+fn after_all_instances_restart_under_their_names_the_whole_is_there_again_at_once() {
+    let mut fleet = Fleet::new(true);
+    let round = |fleet: &mut Fleet| {
+        for i in 0..INSTANCES {
+            fleet.apply(Step::Read(i));
+            fleet.apply(Step::Write(i, Fate::Answered, 0));
+        }
+    };
+    for _ in 0..4 {
+        round(&mut fleet);
+    }
+    for i in 0..INSTANCES {
+        fleet.apply(Step::Replace(i));
+    }
+    round(&mut fleet);
+    for i in 0..INSTANCES {
+        assert!(
+            fleet.shares[i].floor().is_zero(),
+            "loans may still be in use"
+        );
+        fleet.apply(Step::Release(i));
+        assert!(fleet.shares[i].floor() > Part::one_of(INSTANCES * 2));
+    }
+}
+
 #[test]
 fn a_lost_ledger_is_made_again_from_a_copy() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(false);
     for _ in 0..3 {
         for i in 0..INSTANCES {
             fleet.apply(Step::Read(i));
@@ -248,7 +309,7 @@
 
 #[test]
 fn a_region_that_is_gone_from_the_list_keeps_its_floors_for_longer() {
-    let mut fleet = Fleet::new();
+    let mut fleet = Fleet::new(false);
     for i in 0..INSTANCES {
         fleet.apply(Step::Read(i));
         fleet.apply(Step::Write(i, Fate::Answered, 0));
