Leave a failing target to one request at a time; go elsewhere while all here fail

A target that failed is now tried by one request at a time, two unreached targets end the search here, and another region is preferred while all targets here fail.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,7 +28,7 @@
 use crate::refusal::{Code, Ran, Refusal};
 
 /// Targets that may fail to be reached before a request is given up.
-const MAX_UNREACHED: usize = 4;
+const MAX_UNREACHED: usize = 2;
 
 /// Instances of a region that may fail to be reached before the region is given up.
 const MAX_PEERS: usize = 2;
@@ -143,7 +143,7 @@
             let failure = match outcome {
                 Ok(reply) => return Ok(reply),
                 Err(Miss::NotReached(why)) => {
-                    self.target_failed(&choice, &why);
+                    self.target_failed(job, &choice, &why);
                     unreached += 1;
                     let mut failure = no_target(job);
                     failure.elsewhere = true;
@@ -291,7 +291,7 @@
         let response = match result {
             Some(Ok(response)) => response,
             Some(Err(e)) => {
-                self.target_failed(choice, &e.to_string());
+                self.target_failed(job, choice, &e.to_string());
                 let refusal = Refusal::unknown(Code::TargetFailed, e.to_string());
                 return Err(Miss::Unknown(refusal));
             }
@@ -327,7 +327,7 @@
             self.pool().load(now, &choice.id, running, waiting);
         }
         if replied.another_target {
-            self.target_failed(choice, "another target has its address");
+            self.target_failed(job, choice, "another target has its address");
             return Err(Miss::NotRun("the target has gone".to_owned()));
         }
         if replied.not_run {
@@ -399,11 +399,12 @@
         Ok(req)
     }
 
-    fn target_failed(&self, choice: &Choice, why: &str) {
+    fn target_failed(&self, job: &Job, choice: &Choice, why: &str) {
         let left_out = self.pool().failed(self.clock.now(), &choice.id);
         self.upstream().reset(choice.known.entry.address);
         metrics::counter!("limpetstand_target_failures_total").increment(1);
         journal::line("target_failed")
+            .text("request", &job.id)
             .text("target", choice.id.as_str())
             .text("error", why)
             .ms("left_out_ms", left_out);
@@ -494,6 +495,7 @@
         let mut regions = Regions {
             capacity: pool::capacity(&world, &job.service),
             wait_ms: self.waits(&job.service),
+            here_failing: false,
         };
         let fleet = self.fleet();
         regions
@@ -504,6 +506,7 @@
         });
         match quote {
             Some(choice) => {
+                regions.here_failing = choice.failing;
                 regions.wait_ms.insert(self.region.clone(), choice.wait_ms);
                 self.ask_waits(&job.service, choice.wait_ms);
             }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -52,6 +52,9 @@
 /// First time for which a failing target is left out; doubled with each failure in a row.
 const EJECT_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which others leave a target to the request that tries whether it is back.
+const TRIAL_TIME: Duration = Duration::from_millis(300);
+
 /// Longest time for which a failing target is left out.
 const MAX_EJECT_TIME: Duration = Duration::from_secs(4);
 
@@ -108,6 +111,8 @@
     /// The same with the shared parts that it would have to read and what its failures cost, in
     /// milliseconds.
     pub cost_ms: f64,
+    /// Whether it has failed lately and is chosen only for want of another.
+    pub failing: bool,
 }
 
 /// What this instance knows of its region's targets.
@@ -127,9 +132,14 @@
         draw: impl FnMut() -> f64,
     ) -> Option<Choice> {
         let choice = self.quote(now, world, region, want, draw)?;
+        let seat = self.seat(&choice.id, &choice.known);
         if choice.known.cold_until > now {
             // Counted here, as other requests choose while this one connects.
-            self.seat(&choice.id, &choice.known).sent.note(now);
+            seat.sent.note(now);
+        }
+        if seat.failures > 0 {
+            // One request at a time tries whether the target is back.
+            seat.ejected_until = seat.ejected_until.max(now + TRIAL_TIME);
         }
         Some(choice)
     }
@@ -160,11 +170,8 @@
             let wait_ms = seat.wait(now, known.entry.slots);
             let failing = seat.failure_rate * FAILING_MS;
             let cost_ms = wait_ms + away + failing + draw() * JITTER_MS;
-            let slot = if seat.ejected_until > now {
-                &mut fallback
-            } else {
-                &mut best
-            };
+            let left_out = seat.ejected_until > now;
+            let slot = if left_out { &mut fallback } else { &mut best };
             if slot.as_ref().is_some_and(|b| b.cost_ms <= cost_ms) {
                 continue;
             }
@@ -173,6 +180,7 @@
                 known: known.clone(),
                 wait_ms,
                 cost_ms,
+                failing: left_out,
             });
         }
         best.or(fallback)
--- a/src/gateway/region.rs
+++ b/src/gateway/region.rs
@@ -22,6 +22,8 @@
     pub capacity: HashMap<RegionId, u32>,
     /// Expected wait in milliseconds, where it is known.
     pub wait_ms: HashMap<RegionId, f64>,
+    /// Whether all targets of the own region have failed lately.
+    pub here_failing: bool,
 }
 
 /// Chooses a region among those allowed that have targets and have not been tried.
@@ -51,10 +53,10 @@
         others.push((region, wait.unwrap_or(0.0), f64::from(*count)));
     }
     let own_wait = regions.wait_ms.get(here).copied().unwrap_or(0.0);
-    if local && own_wait < WAY_MS + GAIN_MS {
+    if local && (others.is_empty() || (!regions.here_failing && own_wait < WAY_MS + GAIN_MS)) {
         return Some(here.clone());
     }
-    if local {
+    if local && !regions.here_failing {
         // Only regions known to be quicker are worth the way.
         others.retain(|(region, wait, _)| {
             regions.wait_ms.contains_key(*region) && wait + WAY_MS + GAIN_MS < own_wait
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, timeout};
 
 /// How long opening a connection within a region may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time after which unanswered bytes or probes end a connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -390,6 +390,30 @@
     assert_eq!(pool.failed(ms(700), &"t0".into()), ms(500));
 }
 
+#[test]
+fn one_request_at_a_time_tries_a_target_that_failed() {
+    let world = world(2, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::default();
+    let choose = |pool: &mut Pool, now| {
+        pool.choose(now, &world, &here, &want(&[], &[]), || 0.5)
+            .map(|c| (c.id, c.failing))
+    };
+    choose(&mut pool, ms(0));
+    let time = pool.failed(ms(0), &"t1".into());
+    let back = time + ms(1);
+    // The other one has a long queue, so the first chance is taken.
+    pool.load(back, &"t0".into(), 4, 40);
+    assert_eq!(choose(&mut pool, back), Some(("t1".into(), false)));
+    for _ in 0..5 {
+        assert_eq!(choose(&mut pool, back), Some(("t0".into(), false)));
+    }
+    assert_eq!(
+        choose(&mut pool, back + ms(301)),
+        Some(("t1".into(), false))
+    );
+}
+
 #[test]
 fn evacuated_and_leaving_targets_get_nothing() {
     let mut world = world(2, Duration::ZERO);
@@ -503,6 +527,7 @@
     Regions {
         capacity: capacity.iter().map(|(r, n)| ((*r).into(), *n)).collect(),
         wait_ms: waits.iter().map(|(r, w)| ((*r).into(), *w)).collect(),
+        here_failing: false,
     }
 }
 
@@ -531,6 +556,10 @@
     );
     assert_eq!(choose(&known, &all, &["here".into()]), Some("near".into()));
     assert_eq!(choose(&known, &["far".into()], &[]), None);
+    let mut failing = regions(&both, &[("here", 0.0)]);
+    failing.here_failing = true;
+    assert_eq!(choose(&failing, &all, &[]), Some("near".into()));
+    assert_eq!(choose(&failing, &["here".into()], &[]), Some("here".into()));
 }
 
 fn member(id: &str, data_centre: &str, region: &str, health: Health) -> Member {
