Rank an organisation's requests by their routes; renew watches every 2.5 s; describe operations

Cause: an organisation's priority replaced the route's, so short chat answers queued behind long prompts of the same organisation. The route's priority now decides within the organisation's.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,7 +43,7 @@
 pub mod warmup;
 pub mod world;
 
-pub use self::callers::{come_back, status_of};
+pub use self::callers::{combined_priority, come_back, status_of};
 pub use self::directory::entries;
 pub use self::follow::{Follower, Parts as FollowerParts};
 pub use self::run::run;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -38,6 +38,12 @@
 /// Callers who were refused together come back spread over this part more of their wait.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// The last priority at targets.
+const LAST_PRIORITY: u8 = 9;
+
+/// Priorities of routes that are told apart within an organisation's.
+const ROUTE_PRIORITIES: u8 = 3;
+
 /// Counts a request in flight while it lives.
 pub(super) struct InFlight(Arc<AtomicUsize>);
 
@@ -128,6 +134,7 @@
                     .map_or("", |(o, _)| o.as_str()),
             )
             .value("version", table.version)
+            .text("regions", &joined(&admitted.regions))
             .text("charged_to", charge.source());
         let route = admitted.route;
         let granted = admitted.organisation.as_ref().and_then(|(_, g)| g.priority);
@@ -141,7 +148,7 @@
             kind: route.kind,
             service,
             organisation: admitted.organisation.map(|(o, _)| o),
-            priority: granted.unwrap_or(route.priority),
+            priority: combined_priority(granted, route.priority),
             max_attempts: route.max_attempts.max(1),
             attempts: 0,
             objective: route.objective,
@@ -269,6 +276,23 @@
     }
 }
 
+/// Returns the priority at targets, from 0 to 9: the organisation's goes first, and the route's
+/// decides among its requests.
+pub fn combined_priority(organisation: Option<u8>, route: u8) -> u8 {
+    let Some(organisation) = organisation else {
+        return route.min(LAST_PRIORITY);
+    };
+    let first = organisation.saturating_mul(ROUTE_PRIORITIES);
+    first
+        .saturating_add(route.min(ROUTE_PRIORITIES - 1))
+        .min(LAST_PRIORITY)
+}
+
+fn joined(regions: &[RegionId]) -> String {
+    let names: Vec<&str> = regions.iter().map(RegionId::as_str).collect();
+    names.join(",")
+}
+
 /// Returns the status of a refusal: a promise only if the request has not run.
 pub fn status_of(refusal: &Refusal) -> u16 {
     match (refusal.code(), refusal.ran()) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -86,6 +86,11 @@
     ///
     /// If no target answers; says whether the request can have run.
     pub(super) async fn dispatch(self: &Arc<Self>, job: &mut Job) -> Result<Reply, Failure> {
+        if job.regions.is_empty() {
+            // Coming back would not help before the configuration changes.
+            let why = "the route and the organisation have no region in common";
+            return Err(self.failure(job, Refusal::not_run(Code::NoTarget, why)));
+        }
         let mut tried: Vec<RegionId> = Vec::new();
         let mut last: Option<Failure> = None;
         loop {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -27,7 +27,7 @@
 use crate::store::{Entry, Store, StoreError, WatchEvent};
 
 /// How long a watch may wait; a silent one is noticed [`WATCH_MARGIN`] later.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Time beside the wait in which a watch must answer.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -7,11 +7,14 @@
 
 use std::time::Duration;
 
-/// Part of the objective that an urgent request may wait.
-const URGENT_PART: f64 = 1.2;
+/// Part of the objective that the most urgent requests may wait.
+const FIRST_PART: f64 = 1.2;
 
-/// Part of the objective that any other request may wait.
-const OTHER_PART: f64 = 0.9;
+/// By how much that part is less for each step of priority.
+const PRIORITY_STEP: f64 = 0.1;
+
+/// Part of the objective that any request may wait.
+const LEAST_PART: f64 = 0.7;
 
 /// Shortest time after which a refused caller comes back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -21,12 +24,8 @@
 
 /// Returns how long a request may wait for a target to turn to it.
 pub fn longest_wait(objective: Duration, priority: u8) -> Duration {
-    let part = if priority == 0 {
-        URGENT_PART
-    } else {
-        OTHER_PART
-    };
-    objective.mul_f64(part)
+    let part = FIRST_PART - f64::from(priority) * PRIORITY_STEP;
+    objective.mul_f64(part.max(LEAST_PART))
 }
 
 /// Returns when a refused caller should come back, given the wait that it would have had.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,7 +14,7 @@
 use limpetstand::gateway::tolerance::{Spent, Tolerance};
 use limpetstand::gateway::warmup::{self, Sent};
 use limpetstand::gateway::world::World;
-use limpetstand::gateway::{come_back, entries, overload, patience, status_of};
+use limpetstand::gateway::{combined_priority, come_back, entries, overload, patience, status_of};
 use limpetstand::id::{RegionId, TargetId};
 use limpetstand::member::{Fleet, Health, Member};
 use limpetstand::refusal::{Code, Refusal};
@@ -488,6 +488,14 @@
     assert_eq!(come_back(SECOND, 1.0), ms(1_500));
 }
 
+#[test]
+fn an_organisations_priority_goes_before_the_routes() {
+    assert_eq!(combined_priority(None, 2), 2);
+    assert!(combined_priority(Some(0), 2) < combined_priority(Some(1), 0));
+    assert!(combined_priority(Some(1), 0) < combined_priority(Some(1), 1));
+    assert!(combined_priority(Some(200), 200) <= 9);
+}
+
 #[test]
 fn a_status_promises_only_what_is_known() {
     let refused = |code| status_of(&Refusal::not_run(code, ""));
