--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -28,7 +28,7 @@
 pub mod overload;
 pub mod patience;
 pub mod pool;
-mod quota;
+pub mod quota;
 pub mod region;
 pub mod registry;
 mod relay;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -38,6 +38,10 @@
 /// Callers who were refused together come back spread over this part more of their wait.
 const RETRY_SPREAD: f64 = 0.5;
 
+/// How long a request waits for the first configuration, which takes a few hundred milliseconds
+/// after the start; callers leave after a second.
+const STARTUP_WAIT: Duration = Duration::from_millis(700);
+
 /// The last priority at targets.
 const LAST_PRIORITY: u8 = 9;
 
@@ -96,8 +100,7 @@
         let began = Instant::now();
         let (parts, body) = req.into_parts();
         let asked = self.0.dialect.read(&parts.headers);
-        let world = self.0.world();
-        let Some(table) = world.table.clone() else {
+        let Some(table) = self.table().await else {
             let refusal = Refusal::not_run(Code::NotReady, "no configuration is known yet");
             return self.refuse(&asked, &refusal, None);
         };
@@ -193,6 +196,16 @@
         response.map(|()| body.boxed_unsync())
     }
 
+    /// Returns the configuration in force; a starting instance waits for its first one and for
+    /// the targets.
+    async fn table(&self) -> Option<Arc<RouteTable>> {
+        let mut world = self.0.world.clone();
+        let known = world.wait_for(|world| world.table.is_some() && world.registry_known);
+        // Without one the caller is refused, which says why.
+        let _ = timeout(STARTUP_WAIT, known).await;
+        self.0.world().table.clone()
+    }
+
     /// Finds the route, the organisation and the regions that both allow.
     fn admit<'a>(
         &self,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -263,7 +263,10 @@
         let now = self.parts.clock.now();
         match i {
             0 => self.apply_settings(state, now),
-            1 => self.apply_registry(state, now),
+            1 => {
+                self.apply_registry(state, now);
+                state.world.registry_known = true;
+            }
             _ => state.world.instances = instances::decode_all(&state.mirrors[2].entries),
         }
         state.world.targets = state.registry.targets().clone();
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -20,7 +20,7 @@
 /// Milliseconds of an engine's time for a prompt token. Engines of the size in use read 40 to 50
 /// tokens in a millisecond; a part of the time is left to generating, which waits while prompts
 /// are read.
-const READ_MS_PER_TOKEN: f64 = 0.025;
+const READ_MS_PER_TOKEN: f64 = 0.032;
 
 /// Milliseconds that each request waiting at a target delays the next one.
 const WAITING_MS: f64 = 30.0;
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -13,11 +13,14 @@
 use crate::config::{Document, Organisation, Revision, Snapshot};
 use crate::id::OrganisationId;
 use crate::limit::{Hold, Limiter};
-use crate::refusal::Refusal;
+use crate::refusal::{Code, Refusal};
+
+/// Time in which an organisation that has just been configured gets its share.
+const SHARE_WAIT: Duration = Duration::from_millis(200);
 
 /// What a request was charged.
 #[derive(Debug)]
-pub(super) enum Charge {
+pub enum Charge {
     /// The organisation has no limit.
     Free,
     /// Out of the instance's share or a loan.
@@ -28,14 +31,14 @@
 
 impl Charge {
     /// Gives the charge back: the request has not run.
-    pub(super) fn give_back(self) {
+    pub fn give_back(self) {
         if let Self::Share(hold) = self {
             hold.settle(0);
         }
     }
 
     /// Makes the charge final: the request is on its way to a target.
-    pub(super) fn spend(self) {
+    pub fn spend(self) {
         if let Self::Share(hold) = self {
             let tokens = hold.tokens;
             hold.settle(tokens);
@@ -43,7 +46,7 @@
     }
 
     /// Names where the units came from.
-    pub(super) fn source(&self) -> &'static str {
+    pub fn source(&self) -> &'static str {
         match self {
             Self::Free => "free",
             Self::Share(_) => "share",
@@ -53,17 +56,23 @@
 }
 
 /// Charges organisations.
-pub(super) struct Quota {
+pub struct Quota {
     limiter: Arc<dyn Limiter>,
+    snapshot: watch::Receiver<Arc<Snapshot>>,
     clock: Clock,
     spent: Mutex<HashMap<OrganisationId, Spent>>,
 }
 
 impl Quota {
-    /// Charges out of the limiter's shares.
-    pub(super) fn new(limiter: Arc<dyn Limiter>, clock: Clock) -> Self {
+    /// Charges out of the shares of a limiter that follows `snapshot`.
+    pub fn new(
+        limiter: Arc<dyn Limiter>,
+        snapshot: watch::Receiver<Arc<Snapshot>>,
+        clock: Clock,
+    ) -> Self {
         Self {
             limiter,
+            snapshot,
             clock,
             spent: Mutex::default(),
         }
@@ -74,7 +83,7 @@
     /// # Errors
     ///
     /// If neither share, loans nor tolerance have room.
-    pub(super) async fn charge(
+    pub async fn charge(
         &self,
         organisation: &OrganisationId,
         grant: &Grant,
@@ -86,9 +95,14 @@
         if grant.rate == 0 {
             return Ok(Charge::Free);
         }
-        let refusal = match self.limiter.admit(organisation, units, time_left).await {
-            Ok(hold) => return Ok(Charge::Share(hold)),
-            Err(refusal) => refusal,
+        let refusal = if self.is_known(organisation) {
+            match self.limiter.admit(organisation, units, time_left).await {
+                Ok(hold) => return Ok(Charge::Share(hold)),
+                Err(refusal) => refusal,
+            }
+        } else {
+            Refusal::not_run(Code::RateExceeded, "the organisation has no share here yet")
+                .retry_after(SHARE_WAIT)
         };
         let mut spent = self.spent.lock().unwrap_or_else(PoisonError::into_inner);
         let spent = spent.entry(organisation.clone()).or_default();
@@ -98,6 +112,12 @@
         }
         Err(refusal)
     }
+
+    /// Tells whether the limiter's configuration has an organisation that the route table has.
+    fn is_known(&self, organisation: &OrganisationId) -> bool {
+        let snapshot = self.snapshot.borrow();
+        snapshot.merged.organisations.contains_key(organisation)
+    }
 }
 
 /// Returns the organisations of a route table as the limiter reads them.
@@ -123,7 +143,7 @@
 }
 
 /// Keeps the limiter's view of the organisations at the newest route table.
-pub(super) fn snapshots(mut world: watch::Receiver<Arc<World>>) -> watch::Receiver<Arc<Snapshot>> {
+pub fn snapshots(mut world: watch::Receiver<Arc<World>>) -> watch::Receiver<Arc<Snapshot>> {
     let (tx, rx) = watch::channel(Arc::new(Snapshot::default()));
     tokio::spawn(async move {
         loop {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -130,13 +130,14 @@
         .peers(Arc::clone(&base.peers))
         .start();
     follower.start(membership.fleet(), Arc::clone(&base.peers));
+    let snapshot = snapshots(world.clone());
     let limits = limit::start(
         &base.settings.policy.limit,
         limit::Parts {
             id: own.id.clone(),
             region: own.region.clone(),
             clock: base.clock,
-            snapshot: snapshots(world.clone()),
+            snapshot: snapshot.clone(),
             fleet: membership.fleet(),
             peers: Arc::clone(&base.peers),
             store: Arc::clone(&base.store),
@@ -165,7 +166,7 @@
         regions,
         peers: Arc::clone(&base.peers),
         upstream: Upstream::new(base.settings.instance.source),
-        quota: Quota::new(Arc::clone(&limits.limiter), base.clock),
+        quota: Quota::new(Arc::clone(&limits.limiter), snapshot, base.clock),
         pool: std::sync::Mutex::default(),
         retries: std::sync::Mutex::default(),
         waits: std::sync::Mutex::default(),
--- a/src/gateway/world.rs
+++ b/src/gateway/world.rs
@@ -19,6 +19,8 @@
     pub evacuated: BTreeSet<SmolStr>,
     /// The targets.
     pub targets: BTreeMap<TargetId, Known>,
+    /// Whether the registry of targets has been read.
+    pub registry_known: bool,
     /// The instances that have announced themselves.
     pub instances: Vec<ListedInstance>,
     /// The region of each data centre.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,8 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use limpetstand::clock::Clock;
+use limpetstand::config::Snapshot;
 use limpetstand::gateway::dialect::{PromptPart, Registered, WhichInstances};
 use limpetstand::gateway::pool::{Pool, Want};
+use limpetstand::gateway::quota::{Charge, Quota};
 use limpetstand::gateway::region::{self, Regions};
 use limpetstand::gateway::registry::{Known, RETURN_TIME, Registry};
 use limpetstand::gateway::retry::{Bound, Budget};
@@ -15,11 +18,13 @@
 use limpetstand::gateway::warmup::{self, Sent};
 use limpetstand::gateway::world::World;
 use limpetstand::gateway::{combined_priority, come_back, entries, overload, patience, status_of};
-use limpetstand::id::{RegionId, TargetId};
+use limpetstand::id::{OrganisationId, RegionId, TargetId};
+use limpetstand::limit::{Hold, Limiter};
 use limpetstand::member::{Fleet, Health, Member};
 use limpetstand::refusal::{Code, Refusal};
 use proptest::prelude::*;
 use smol_str::SmolStr;
+use tokio::sync::watch;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -252,6 +257,44 @@
     assert!(sent.has_room(ms(1_300), 1));
 }
 
+/// Refuses as the shares do for an organisation that their configuration lacks.
+struct NoShare;
+
+#[async_trait::async_trait]
+impl Limiter for NoShare {
+    async fn admit(&self, _: &OrganisationId, _: u64, _: Duration) -> Result<Hold, Refusal> {
+        Err(Refusal::not_run(
+            Code::BadKey,
+            "there is no such organisation",
+        ))
+    }
+}
+
+#[tokio::test]
+async fn an_organisation_whose_share_is_not_set_up_yet_is_not_told_that_its_key_is_bad() {
+    let (_tx, snapshot) = watch::channel(Arc::new(Snapshot::default()));
+    let quota = Quota::new(Arc::new(NoShare), snapshot, Clock::start());
+    let grant = Grant {
+        priority: None,
+        rate: 1_000,
+        burst: 1_000,
+        unit: Unit::Tokens { plain: 1 },
+        homes: Vec::new(),
+    };
+    let tolerance = Tolerance {
+        overshoot: 0.0,
+        slack: 100.0,
+        window: SECOND,
+    };
+    let organisation = "o1".into();
+    let charge = quota.charge(&organisation, &grant, 50, SECOND, &tolerance, 1);
+    assert!(matches!(charge.await, Ok(Charge::Tolerated)));
+    let charge = quota.charge(&organisation, &grant, 50, SECOND, &tolerance, 1);
+    let refusal = charge.await.expect_err("the tolerance is spent");
+    assert_eq!(refusal.code(), Code::RateExceeded);
+    assert!(refusal.retry_after_ms().is_some());
+}
+
 /// Targets `t0`, `t1`, … of the service `s` in one region.
 fn world(targets: u32, cold_until: Duration) -> World {
     let mut world = World::default();
