--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as _, Incoming};
+use smol_str::SmolStr;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::Gateway;
@@ -139,32 +140,7 @@
             .value("version", table.version)
             .text("regions", &joined(&admitted.regions))
             .text("charged_to", charge.source());
-        let route = admitted.route;
-        let granted = admitted.organisation.as_ref().and_then(|(_, g)| g.priority);
-        let mut headers = parts.headers;
-        self.0.dialect.strip(&mut headers);
-        strip_hop_headers(&mut headers);
-        let path = parts.uri.path_and_query();
-        let mut job = Job {
-            id: asked.id.clone(),
-            route: route.name.clone(),
-            kind: route.kind,
-            service,
-            organisation: admitted.organisation.map(|(o, _)| o),
-            priority: combined_priority(granted, route.priority),
-            max_attempts: route.max_attempts.max(1),
-            attempts: 0,
-            objective: route.objective,
-            deadline,
-            method: parts.method,
-            path: path.map_or("/", |p| p.as_str()).to_owned(),
-            headers,
-            body,
-            regions: admitted.regions,
-            prompt: asked.prompt.clone(),
-            resume_after: asked.resume_after.clone(),
-            hops: 0,
-        };
+        let mut job = self.job(parts, &asked, admitted, service, body, deadline);
         let outcome = timeout_at(deadline, self.0.dispatch(&mut job)).await;
         let reply = match outcome {
             Ok(Ok(reply)) => reply,
@@ -196,6 +172,43 @@
         response.map(|()| body.boxed_unsync())
     }
 
+    fn job(
+        &self,
+        parts: http::request::Parts,
+        asked: &Asked,
+        admitted: Admitted<'_>,
+        service: SmolStr,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Job {
+        let route = admitted.route;
+        let granted = admitted.organisation.as_ref().and_then(|(_, g)| g.priority);
+        let mut headers = parts.headers;
+        self.0.dialect.strip(&mut headers);
+        strip_hop_headers(&mut headers);
+        let path = parts.uri.path_and_query();
+        Job {
+            id: asked.id.clone(),
+            route: route.name.clone(),
+            kind: route.kind,
+            service,
+            organisation: admitted.organisation.map(|(o, _)| o),
+            priority: combined_priority(granted, route.priority),
+            max_attempts: route.max_attempts.max(1),
+            attempts: 0,
+            objective: route.objective,
+            deadline,
+            method: parts.method,
+            path: path.map_or("/", |p| p.as_str()).to_owned(),
+            headers,
+            body,
+            regions: admitted.regions,
+            prompt: asked.prompt.clone(),
+            resume_after: asked.resume_after.clone(),
+            hops: 0,
+        }
+    }
+
     /// Returns the configuration in force; a starting instance waits for its first one and for
     /// the targets.
     async fn table(&self) -> Option<Arc<RouteTable>> {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -3,7 +3,6 @@
 //! A plug-in implements [`Layout`] and [`Dialect`] and registers a [`PlatformPlugin`] with
 //! `inventory`.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -130,6 +129,8 @@
 /// A client's question which instances to use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WhichInstances {
+    /// The host that it will call.
+    pub host: SmolStr,
     /// The client's region.
     pub region: SmolStr,
     /// The client's data centre.
@@ -178,12 +179,3 @@
         .into_iter()
         .find(|plugin| plugin.name == name)
 }
-
-/// The operators' settings and the targets, as decoded from all entries.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Decoded {
-    /// The configuration, if there is one.
-    pub routes: Option<RouteTable>,
-    /// Data centres that take nothing new.
-    pub evacuated: BTreeSet<SmolStr>,
-}
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -12,6 +12,7 @@
 use super::callers::{AnswerBody, whole};
 use super::dialect::WhichInstances;
 use super::listen::Handler;
+use crate::id::RegionId;
 use crate::member::{Fleet, Health, Member};
 
 /// The most addresses of one answer.
@@ -22,15 +23,19 @@
 const MIN_ENTRIES: usize = 2;
 
 /// Returns the instances that a client should use, nearest first.
-pub fn entries(fleet: &Fleet, asked: &WhichInstances) -> Vec<SocketAddr> {
+///
+/// Where its region has none, those of the regions in `homes` go first, since requests of homed
+/// routes must not be sent elsewhere.
+pub fn entries(fleet: &Fleet, asked: &WhichInstances, homes: &[RegionId]) -> Vec<SocketAddr> {
     let mut entries: Vec<SocketAddr> = Vec::new();
     let near = |m: &Member| m.data_centre == asked.data_centre;
     let region = |m: &Member| m.region.as_str() == asked.region;
+    let home = |m: &Member| homes.contains(&m.region);
     let anywhere = |_: &Member| true;
-    let rings: [&dyn Fn(&Member) -> bool; 3] = [&near, &region, &anywhere];
+    let rings: [&dyn Fn(&Member) -> bool; 4] = [&near, &region, &home, &anywhere];
     for (i, ring) in rings.into_iter().enumerate() {
         // Other regions serve only a region without any instance.
-        let enough = if i == 2 { 1 } else { MIN_ENTRIES };
+        let enough = if i >= 2 { 1 } else { MIN_ENTRIES };
         if entries.len() >= enough {
             break;
         }
@@ -67,8 +72,11 @@
         let Some(asked) = gateway.dialect.read_question(path, query) else {
             return plain(StatusCode::NOT_FOUND, "");
         };
-        let entries = entries(&gateway.fleet(), &asked);
-        if entries.is_empty() || gateway.world().table.is_none() {
+        let Some(table) = gateway.world().table.clone() else {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "");
+        };
+        let entries = entries(&gateway.fleet(), &asked, &table.homes_of(&asked.host));
+        if entries.is_empty() {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let ttl = gateway.bounds().directory_ttl;
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -66,17 +66,6 @@
     pub warmup: Duration,
     /// Requests a second that a cold target bears; 0 means that it has no cold phase.
     pub warmup_per_s: f64,
-    /// What its model engines hold; `None` for a plain service.
-    pub engine: Option<Engine>,
-}
-
-/// The size of a model engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Engine {
-    /// Requests that run side by side.
-    pub slots: u32,
-    /// Tokens that its cache memory holds.
-    pub memory_tokens: u64,
 }
 
 /// How a request counts against the rate.
@@ -113,9 +102,7 @@
     pub max_header_bytes: usize,
     /// Bytes of a request's body.
     pub max_body_bytes: usize,
-    /// Time for a request's head.
-    pub header_timeout: Duration,
-    /// Time that a kept connection may stay unused.
+    /// Time that a kept connection may stay unused, and that a sender may pause.
     pub idle_timeout: Duration,
 }
 
@@ -124,7 +111,6 @@
         Self {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 4 * 1024 * 1024,
-            header_timeout: Duration::from_secs(3),
             idle_timeout: Duration::from_secs(15),
         }
     }
@@ -187,6 +173,22 @@
         None
     }
 
+    /// Returns the regions that the homes of all routes of a host allow; empty means all.
+    pub fn homes_of(&self, host: &str) -> Vec<RegionId> {
+        let mut homes: Option<Vec<RegionId>> = None;
+        for key in self.by_host.get(host).into_iter().flatten() {
+            let of_route = &self.routes[key.0].homes;
+            if of_route.is_empty() {
+                continue;
+            }
+            match &mut homes {
+                None => homes = Some(of_route.clone()),
+                Some(homes) => homes.retain(|region| of_route.contains(region)),
+            }
+        }
+        homes.unwrap_or_default()
+    }
+
     /// Returns a route.
     pub fn route(&self, key: RouteKey) -> &Route {
         &self.routes[key.0]
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -68,6 +68,22 @@
     assert_eq!(found("c.example", "/x/"), None);
 }
 
+#[test]
+fn the_homes_of_a_host_are_those_that_all_its_routes_allow() {
+    let homed = |prefix, homes: &[&str]| Route {
+        homes: homes.iter().map(|h| (*h).into()).collect(),
+        ..route("a.example", prefix, &[])
+    };
+    let routes = vec![
+        homed("/x/", &["north", "south"]),
+        homed("/y/", &["south", "west"]),
+        homed("/z/", &[]),
+    ];
+    let table = RouteTable::new(1, routes);
+    assert_eq!(table.homes_of("a.example"), ["south".into()]);
+    assert!(table.homes_of("b.example").is_empty());
+}
+
 #[test]
 fn services_are_drawn_by_weight() {
     let route = route("h", "/", &[("a", 90), ("b", 10), ("c", 0)]);
@@ -311,7 +327,6 @@
     let service = Service {
         warmup: SECOND * 3,
         warmup_per_s: 2.0,
-        engine: None,
     };
     table.services.insert("s".into(), service);
     world.table = Some(Arc::new(table));
@@ -640,15 +655,30 @@
         targets: Vec::new(),
     };
     let asked = |data_centre: &str, region: &str| WhichInstances {
+        host: "a.example".into(),
         region: region.into(),
         data_centre: data_centre.into(),
     };
     let front = |i: usize| fleet.members[i].front;
-    assert_eq!(entries(&fleet, &asked("a", "north")), [front(0), front(1)]);
     assert_eq!(
-        entries(&fleet, &asked("b", "north")),
+        entries(&fleet, &asked("a", "north"), &[]),
+        [front(0), front(1)]
+    );
+    assert_eq!(
+        entries(&fleet, &asked("b", "north"), &[]),
         [front(3), front(0), front(1)]
     );
-    assert_eq!(entries(&fleet, &asked("c", "south")), [front(4)]);
-    assert_eq!(entries(&fleet, &asked("d", "west")).len(), 4);
+    assert_eq!(entries(&fleet, &asked("c", "south"), &[]), [front(4)]);
+    assert_eq!(entries(&fleet, &asked("d", "west"), &[]).len(), 4);
+    // A region whose instances all leave sends its clients where homed routes may be served.
+    let homes = ["south".into(), "west".into()];
+    assert_eq!(entries(&fleet, &asked("d", "west"), &homes), [front(4)]);
+    assert_eq!(
+        entries(&fleet, &asked("a", "north"), &homes),
+        [front(0), front(1)]
+    );
+    assert_eq!(
+        entries(&fleet, &asked("d", "west"), &["east".into()]).len(),
+        4
+    );
 }
