--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -173,20 +173,22 @@
         None
     }
 
-    /// Returns the regions that the homes of all routes of a host allow; empty means all.
+    /// Returns the regions that are home to the most of a host's homed routes.
     pub fn homes_of(&self, host: &str) -> Vec<RegionId> {
-        let mut homes: Option<Vec<RegionId>> = None;
+        let mut counts: HashMap<&RegionId, usize> = HashMap::new();
         for key in self.by_host.get(host).into_iter().flatten() {
-            let of_route = &self.routes[key.0].homes;
-            if of_route.is_empty() {
-                continue;
+            for region in &self.routes[key.0].homes {
+                *counts.entry(region).or_default() += 1;
             }
-            match &mut homes {
-                None => homes = Some(of_route.clone()),
-                Some(homes) => homes.retain(|region| of_route.contains(region)),
+        }
+        let most = counts.values().copied().max().unwrap_or(0);
+        let mut homes = Vec::new();
+        for (region, count) in counts {
+            if count == most {
+                homes.push(region.clone());
             }
         }
-        homes.unwrap_or_default()
+        homes
     }
 
     /// Returns a route.
