Keep a relayed request in flight until its body has ended

Cause: a leaving instance counted a request that it served for another region only until the head of the answer was sent. It left about 3 s after SIGTERM and cut the streams still running, which the other region's callers saw as broken answers.

Change: the guard that counts the request in flight now lives as long as the relayed body.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,6 +52,7 @@
 pub use self::follow::{Follower, FollowerDeps};
 pub use self::run::run;
 
+use self::callers::InFlightGuard;
 use self::dialect::Dialect;
 use self::job::Job;
 use self::platform_view::PlatformView;
@@ -327,12 +328,12 @@
 #[async_trait]
 impl RelayHandler for RelayedRequests {
     async fn run(&self, message: Bytes) -> RelayAnswer {
-        let _guard = callers::InFlightGuard::new(&self.0.in_flight);
+        let guard = InFlightGuard::new(&self.0.in_flight);
         let (head, source) = self.run_relayed(&message).await;
         match encode(&head) {
             Ok(head) => RelayAnswer {
                 head,
-                body: source.map(|s| Box::new(s) as _),
+                body: source.map(|source| Box::new(source.guarded(guard)) as _),
             },
             Err(e) => {
                 log::error!("cannot encode the head of a relayed response: {e}");
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::Gateway;
+use super::callers::InFlightGuard;
 use super::upstream::Connection;
 use crate::id::TargetId;
 use crate::peer::{RelaySource, RelayedBody};
@@ -34,6 +35,23 @@
     }
 }
 
+/// The body of an answer to a relayed request. The request counts as in flight until its body ends,
+/// so that a leaving instance waits for it.
+pub(super) struct GuardedSource {
+    source: Source,
+    _guard: InFlightGuard,
+}
+
+impl Source {
+    /// Keeps the request in flight until the source is dropped.
+    pub(super) fn guarded(self, guard: InFlightGuard) -> GuardedSource {
+        GuardedSource {
+            source: self,
+            _guard: guard,
+        }
+    }
+}
+
 /// Counts a request as in flight at a target until the guard is dropped.
 pub(super) struct TargetRequestGuard {
     gateway: Arc<Gateway>,
@@ -113,8 +131,8 @@
 }
 
 #[async_trait::async_trait]
-impl RelaySource for Source {
+impl RelaySource for GuardedSource {
     async fn next(&mut self) -> Option<Result<Bytes, String>> {
-        Source::next(self).await
+        self.source.next().await
     }
 }
