--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,8 +4,8 @@
 //! The gateway runs on platforms that keep the configuration, the targets and the list of instances
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
-//! [`registry`], [`pool`], [`region`], [`warmup`], [`retry`], [`tolerance`], [`attempt_timeout`])
-//! use neither sockets nor a clock.
+//! [`registry`], [`mirror`], [`listeners`], [`pool`], [`region`], [`warmup`], [`retry`],
+//! [`tolerance`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -30,7 +30,9 @@
 pub mod instances;
 mod job;
 mod listen;
+pub mod listeners;
 pub mod load_shedding;
+pub mod mirror;
 pub mod platform_view;
 pub mod pool;
 pub mod quota;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,31 +1,34 @@
 //! Maintains the instance's view of the platform from the platform's keys in the store.
 //!
-//! Each instance watches the keys itself. An instance whose store calls fail requests newer entries
-//! from another instance, so one instance that can reach the store can update all others.
+//! Few instances of each data centre watch the keys ([`listen`]); the others get the changes from
+//! them ([`poll`]). [`super::listeners`] decides which. An instance without recent news also asks
+//! random instances of the fleet, so one instance that can reach the store can update all others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use async_trait::async_trait;
-use bytes::Bytes;
-use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::dialect::{Layout, PlatformEntry};
 use super::instances::{self, INSTANCES_PREFIX};
+use super::listeners::{Listeners, Plan};
 use super::lock;
+use super::mirror::Mirror;
 use super::platform_view::PlatformView;
 use super::registry::{KnownTarget, TargetRegistry};
 use crate::clock::Clock;
 use crate::id::{InstanceId, RegionId, TargetId};
 use crate::journal;
 use crate::member::{Fleet, Health};
-use crate::peer::{PeerError, PeerHandler, Peers, decode, encode};
-use crate::store::{Entry, Store, StoreError, WatchEvent};
+use crate::peer::Peers;
+use crate::platform::ListedInstance;
+use crate::store::Store;
+
+mod listen;
+mod poll;
 
 /// How long a watch call may wait for changes; the call times out [`WATCH_MARGIN`] later.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
@@ -33,22 +36,17 @@
 /// Time in addition to [`WATCH_WAIT`] within which a watch call must return.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
 
-/// Pause after a failed store call, multiplied by a random factor from 0.5 to 1.5.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
-/// How often an instance that cannot reach the store queries another instance.
-const PEER_QUERY_PERIOD: Duration = Duration::from_millis(300);
+/// Age above which an instance's news from the store is out of date: with a sound store, a watch
+/// call returns within this time.
+const MAX_NEWS_AGE: Duration = Duration::from_millis(3_300);
 
-/// Timeout of a query to another instance; covers a round trip between regions.
-const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often the plan of who listens is updated while the fleet does not change.
+const PLAN_PERIOD: Duration = Duration::from_millis(300);
 
 /// Time in addition to the warm-up for which targets count as cold after the end of an evacuation:
 /// the delay until the targets' entries state that the targets are cold.
 const ENTRY_LAG: Duration = Duration::from_millis(1_500);
 
-/// The kind of peer messages that request newer entries.
-const VIEW_KIND: &str = "world";
-
 /// Index of the mirror of the operators' settings.
 const SETTINGS_MIRROR: usize = 0;
 
@@ -58,27 +56,36 @@
 /// Number of mirrors; the last mirror holds the list of instances.
 const MIRROR_COUNT: usize = 3;
 
-/// A copy of the entries under one key prefix at a store revision.
-#[derive(Debug, Default)]
-struct Mirror {
-    prefix: String,
-    entries: BTreeMap<String, Entry>,
-    revision: i64,
-    loaded: bool,
+/// What the instance knows about one prefix in the store.
+#[derive(Debug)]
+struct Followed {
+    mirror: Mirror,
+    /// Time at which the mirror was last known to be up to date.
+    news_at: Option<Duration>,
+    /// Whether the instance's own latest call to the store failed.
     failing: bool,
 }
 
 #[derive(Debug)]
 struct State {
-    mirrors: Vec<Mirror>,
+    followed: Vec<Followed>,
     registry: TargetRegistry,
+    target_by_key: BTreeMap<String, TargetId>,
+    evacuated_by_key: BTreeMap<String, SmolStr>,
+    instance_by_key: BTreeMap<String, ListedInstance>,
     view: PlatformView,
+    listeners: Listeners,
+    /// When a call to the store last failed, here or at the instances that this one polls.
+    store_failed_at: Option<Duration>,
+    has_recent_news: bool,
 }
 
 /// Dependencies of a [`Follower`].
 pub struct FollowerDeps {
     /// The identifier of this instance.
     pub id: InstanceId,
+    /// The data centre of this instance.
+    pub data_centre: SmolStr,
     /// The monotonic clock of this instance.
     pub clock: Clock,
     /// The platform's store.
@@ -94,49 +101,47 @@
     deps: FollowerDeps,
     state: Mutex<State>,
     tx: watch::Sender<Arc<PlatformView>>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct UpdateRequest {
-    revisions: Vec<i64>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct UpdateResponse {
-    mirrors: Vec<Option<MirrorSnapshot>>,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct MirrorSnapshot {
-    revision: i64,
-    entries: Vec<(String, Bytes, i64)>,
+    /// Counts the changes of the mirrors, for the instances that wait for one.
+    changes_tx: watch::Sender<u64>,
+    plan_tx: watch::Sender<Plan>,
 }
 
 impl Follower {
     /// Creates a follower with an empty view.
     pub fn new(deps: FollowerDeps) -> Arc<Self> {
-        let prefixes: [String; MIRROR_COUNT] = [
-            deps.layout.settings_prefix().to_owned(),
-            deps.layout.registry_prefix().to_owned(),
-            INSTANCES_PREFIX.to_owned(),
+        let prefixes: [&str; MIRROR_COUNT] = [
+            deps.layout.settings_prefix(),
+            deps.layout.registry_prefix(),
+            INSTANCES_PREFIX,
         ];
-        let mirrors = prefixes.map(|prefix| Mirror {
-            prefix,
-            ..Mirror::default()
+        let followed = prefixes.map(|prefix| Followed {
+            mirror: Mirror::new(prefix),
+            news_at: None,
+            failing: false,
         });
         let view = PlatformView {
             region_by_data_centre: deps.regions.clone(),
             ..PlatformView::default()
         };
         let (tx, _) = watch::channel(Arc::new(view.clone()));
+        let (changes_tx, _) = watch::channel(0);
+        let (plan_tx, _) = watch::channel(Plan::default());
         Arc::new(Self {
             deps,
             state: Mutex::new(State {
-                mirrors: mirrors.into(),
+                followed: followed.into(),
                 registry: TargetRegistry::default(),
+                target_by_key: BTreeMap::new(),
+                evacuated_by_key: BTreeMap::new(),
+                instance_by_key: BTreeMap::new(),
                 view,
+                listeners: Listeners::default(),
+                store_failed_at: None,
+                has_recent_news: false,
             }),
             tx,
+            changes_tx,
+            plan_tx,
         })
     }
 
@@ -145,153 +150,113 @@
         self.tx.subscribe()
     }
 
-    /// Returns whether all prefixes are loaded and the latest store call for each succeeded.
-    pub fn is_store_reachable(&self) -> bool {
-        let state = self.state();
-        state.mirrors.iter().all(|m| m.loaded && !m.failing)
-    }
-
-    /// Spawns the tasks that watch the store and query other instances until the runtime ends.
+    /// Spawns the tasks that watch the store and poll other instances until the runtime ends.
     pub fn start(self: &Arc<Self>, fleet: watch::Receiver<Arc<Fleet>>, peers: Arc<dyn Peers>) {
-        let count = self.state().mirrors.len();
-        for index in 0..count {
-            tokio::spawn(Arc::clone(self).follow_mirror(index));
+        self.update_plan(&fleet.borrow());
+        for index in 0..MIRROR_COUNT {
+            tokio::spawn(Arc::clone(self).listen(index));
         }
-        tokio::spawn(Arc::clone(self).query_peers(fleet, peers));
+        self.start_polling(&fleet, &peers);
+        tokio::spawn(Arc::clone(self).keep_plan(fleet));
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
 
-    async fn follow_mirror(self: Arc<Self>, index: usize) {
+    fn now(&self) -> Duration {
+        self.deps.clock.now()
+    }
+
+    /// Updates the plan when the fleet changes, and at intervals.
+    async fn keep_plan(self: Arc<Self>, mut fleet: watch::Receiver<Arc<Fleet>>) {
         loop {
-            let (prefix, revision, loaded) = {
-                let state = self.state();
-                let mirror = &state.mirrors[index];
-                (mirror.prefix.clone(), mirror.revision, mirror.loaded)
-            };
-            let updated = if loaded {
-                self.update_mirror(index, &prefix, revision).await
-            } else {
-                self.load_mirror(index, &prefix).await
-            };
-            match updated {
-                Ok(()) => self.record_success(index),
-                Err(e) => {
-                    self.record_failure(index, &prefix, &e);
-                    sleep(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.5))).await;
-                }
+            if let Ok(Err(_)) = timeout(PLAN_PERIOD, fleet.changed()).await {
+                return;
             }
+            let fleet = Arc::clone(&fleet.borrow());
+            self.update_plan(&fleet);
         }
     }
 
-    async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
-        let (entries, revision) = self.deps.store.list_at(prefix).await?;
-        let entries = entries.into_iter().map(|e| (e.key.clone(), e)).collect();
-        self.install_snapshot(index, entries, revision);
-        Ok(())
-    }
-
-    async fn update_mirror(
-        &self,
-        index: usize,
-        prefix: &str,
-        after: i64,
-    ) -> Result<(), StoreError> {
-        let changes = self.deps.store.poll_changes(prefix, after, WATCH_WAIT);
-        let (events, at) = timeout(WATCH_WAIT + WATCH_MARGIN, changes)
-            .await
-            .map_err(|_| StoreError::ResponseLost("the watch call timed out".to_owned()))??;
-        let mut state = self.state();
-        let mirror = &mut state.mirrors[index];
-        let mut changed = false;
-        for event in events {
-            match event {
-                WatchEvent::Put(entry) => {
-                    let current = mirror.entries.get(&entry.key).map(|e| e.mod_revision);
-                    if current.is_some_and(|current| current >= entry.mod_revision) {
-                        continue;
-                    }
-                    mirror.entries.insert(entry.key.clone(), entry);
-                    changed = true;
-                }
-                WatchEvent::Delete(key, revision) => {
-                    let current = mirror.entries.get(&key).map(|e| e.mod_revision);
-                    if current.is_some_and(|current| current < revision) {
-                        mirror.entries.remove(&key);
-                        changed = true;
-                    }
-                }
-                WatchEvent::Gap => {
-                    mirror.loaded = false;
-                    journal::line("history_lost")
-                        .text("prefix", prefix)
-                        .value("after", after);
-                    return Ok(());
-                }
+    /// Decides whether this instance listens to the store and which instances it polls.
+    fn update_plan(&self, fleet: &Fleet) {
+        let mut live = Vec::new();
+        for member in &fleet.members {
+            if member.data_centre == self.deps.data_centre && member.health == Health::Live {
+                live.push(member.id.clone());
             }
         }
-        mirror.revision = mirror.revision.max(at);
-        if changed {
-            self.apply(&mut state, index);
-        } else if state.registry.remove_expired(self.deps.clock.now()) {
-            self.apply(&mut state, REGISTRY_MIRROR);
-        }
-        Ok(())
+        let plan = {
+            let state = self.state();
+            let hears_store = !state.followed.iter().any(|f| f.failing);
+            let (id, data_centre) = (&self.deps.id, &self.deps.data_centre);
+            let now = self.now();
+            state
+                .listeners
+                .plan(now, data_centre, id, &live, hears_store)
+        };
+        self.plan_tx.send_if_modified(|current| {
+            let changed = *current != plan;
+            if current.listens != plan.listens {
+                journal::line("listener").value("listens", plan.listens);
+            }
+            *current = plan;
+            changed
+        });
     }
 
-    fn install_snapshot(&self, index: usize, entries: BTreeMap<String, Entry>, revision: i64) {
-        let mut state = self.state();
-        let mirror = &mut state.mirrors[index];
-        if revision < mirror.revision {
-            return;
+    /// Publishes the view after the entries of the given keys have changed, and wakes the instances
+    /// that wait for changes.
+    fn apply(&self, state: &mut State, index: usize, changed: &[String]) {
+        let now = self.now();
+        match index {
+            SETTINGS_MIRROR => self.apply_settings(state, changed, now),
+            REGISTRY_MIRROR => self.apply_registry(state, changed, now),
+            _ => apply_instances(state, changed),
+        }
+        self.publish(state);
+        if !changed.is_empty() {
+            self.changes_tx.send_modify(|count| *count += 1);
         }
-        mirror.entries = entries;
-        mirror.revision = revision;
-        mirror.loaded = true;
-        self.apply(&mut state, index);
     }
 
-    fn record_success(&self, index: usize) {
-        let mut state = self.state();
-        let mirror = &mut state.mirrors[index];
-        if std::mem::take(&mut mirror.failing) {
-            journal::line("store_back").text("prefix", &mirror.prefix);
-        }
+    fn publish(&self, state: &mut State) {
+        journal_targets(&state.view.targets, state.registry.targets());
+        state.view.targets = state.registry.targets().clone();
+        self.tx.send_replace(Arc::new(state.view.clone()));
     }
 
-    fn record_failure(&self, index: usize, prefix: &str, e: &StoreError) {
-        let mut state = self.state();
-        state.registry.record_store_failure(self.deps.clock.now());
-        let mirror = &mut state.mirrors[index];
-        if !std::mem::replace(&mut mirror.failing, true) {
-            journal::line("store_lost")
-                .text("prefix", prefix)
-                .value("revision", mirror.revision)
-                .text("error", &e.to_string());
+    /// Records that a mirror is up to date as of `news_at`, removes targets whose entries did not
+    /// return after a store outage, and journals whether the news is recent.
+    fn record_news(&self, state: &mut State, index: usize, news_at: Duration) {
+        let followed = &mut state.followed[index];
+        followed.news_at = followed.news_at.max(Some(news_at));
+        let now = self.now();
+        if state.registry.remove_expired(now) {
+            self.publish(state);
         }
+        self.check_news(state);
     }
 
-    /// Decodes the entries of one mirror and publishes the resulting view.
-    fn apply(&self, state: &mut State, index: usize) {
-        let now = self.deps.clock.now();
-        match index {
-            SETTINGS_MIRROR => self.apply_settings(state, now),
-            REGISTRY_MIRROR => {
-                self.apply_registry(state, now);
-                state.view.registry_loaded = true;
-            }
-            _ => state.view.instances = instances::decode_instances(&state.mirrors[index].entries),
+    /// Journals a change of whether the instance's news from the store is recent.
+    fn check_news(&self, state: &mut State) {
+        let age = state.news_age(self.now());
+        let is_recent = age.is_some_and(|age| age <= MAX_NEWS_AGE);
+        if is_recent == state.has_recent_news {
+            return;
         }
-        journal_targets(&state.view.targets, state.registry.targets());
-        state.view.targets = state.registry.targets().clone();
-        self.tx.send_replace(Arc::new(state.view.clone()));
+        state.has_recent_news = is_recent;
+        let event = if is_recent { "news_back" } else { "news_lost" };
+        journal::line(event).ms("age_ms", age.unwrap_or_default());
     }
 
-    fn apply_settings(&self, state: &mut State, now: Duration) {
-        let mut evacuated = std::collections::BTreeSet::new();
-        for (key, entry) in &state.mirrors[SETTINGS_MIRROR].entries {
+    fn apply_settings(&self, state: &mut State, changed: &[String], now: Duration) {
+        for key in changed {
+            state.evacuated_by_key.remove(key);
+            let Some(entry) = state.followed[SETTINGS_MIRROR].mirror.entry(key) else {
+                continue;
+            };
             match self.deps.layout.decode(key, &entry.value) {
                 Ok(Some(PlatformEntry::Routes(table))) => {
                     let current = state.view.route_table.as_ref().map(|t| t.version);
@@ -304,7 +269,7 @@
                     state.view.route_table = Some(Arc::new(*table));
                 }
                 Ok(Some(PlatformEntry::Evacuation(data_centre))) => {
-                    evacuated.insert(data_centre);
+                    state.evacuated_by_key.insert(key.clone(), data_centre);
                 }
                 Ok(_) => {}
                 Err(e) => {
@@ -312,13 +277,14 @@
                 }
             }
         }
+        let evacuated: BTreeSet<SmolStr> = state.evacuated_by_key.values().cloned().collect();
         for data_centre in evacuated.symmetric_difference(&state.view.evacuated_data_centres) {
             let begins = evacuated.contains(data_centre);
             journal::line("evacuation")
                 .text("data_centre", data_centre)
                 .value("begins", begins);
             if !begins {
-                let warmup = self.longest_warmup(&state.view);
+                let warmup = longest_warmup(&state.view);
                 state
                     .registry
                     .mark_cold(data_centre, now + warmup + ENTRY_LAG);
@@ -327,92 +293,78 @@
         state.view.evacuated_data_centres = evacuated;
     }
 
-    fn apply_registry(&self, state: &mut State, now: Duration) {
-        let mut entries = BTreeMap::new();
-        for (key, entry) in &state.mirrors[REGISTRY_MIRROR].entries {
-            match self.deps.layout.decode(key, &entry.value) {
-                Ok(Some(PlatformEntry::Target(id, registered))) => {
-                    if state.view.region_of(&registered.data_centre).is_none() {
-                        continue;
-                    }
-                    entries.insert(id, registered);
-                }
-                Ok(_) => {}
-                Err(e) => {
-                    journal::line("entry_ignored").text("error", &e.to_string());
+    fn apply_registry(&self, state: &mut State, changed: &[String], now: Duration) {
+        for key in changed {
+            let entry = state.followed[REGISTRY_MIRROR].mirror.entry(key);
+            let decoded = entry.and_then(|e| self.decode_target(key, &e.value, &state.view));
+            let Some((id, registered)) = decoded else {
+                if let Some(id) = state.target_by_key.remove(key) {
+                    state.registry.remove(now, &id);
                 }
-            }
-        }
-        let table = state.view.route_table.clone();
-        state.registry.update(now, entries, |registered| {
-            let table = table.as_ref();
+                continue;
+            };
+            let table = state.view.route_table.as_ref();
             let service = table.and_then(|t| t.services.get(&registered.service));
-            service.map_or(Duration::ZERO, |s| s.warmup)
-        });
-    }
-
-    fn longest_warmup(&self, view: &PlatformView) -> Duration {
-        let table = view.route_table.as_ref();
-        let services = table.into_iter().flat_map(|t| t.services.values());
-        services.map(|s| s.warmup).max().unwrap_or_default()
+            let warmup = service.map_or(Duration::ZERO, |s| s.warmup);
+            state.target_by_key.insert(key.clone(), id.clone());
+            state.registry.insert(now, id, registered, warmup);
+        }
+        state.registry.finish_update(now);
+        state.view.registry_loaded = true;
     }
 
-    /// Queries random instances that are not dead for newer entries while the store is unreachable.
-    async fn query_peers(
-        self: Arc<Self>,
-        fleet: watch::Receiver<Arc<Fleet>>,
-        peers: Arc<dyn Peers>,
-    ) {
-        loop {
-            sleep(PEER_QUERY_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
-            if self.is_store_reachable() {
-                continue;
-            }
-            let mut candidates = Vec::new();
-            for member in &fleet.borrow().members {
-                if member.id != self.deps.id && member.health != Health::Dead {
-                    candidates.push(member.peer);
-                }
+    fn decode_target(
+        &self,
+        key: &str,
+        value: &[u8],
+        view: &PlatformView,
+    ) -> Option<(TargetId, super::dialect::TargetEntry)> {
+        match self.deps.layout.decode(key, value) {
+            Ok(Some(PlatformEntry::Target(id, registered))) => {
+                view.region_of(&registered.data_centre)?;
+                Some((id, registered))
             }
-            let Some(peer) = candidates.choose(&mut rand::rng()).copied() else {
-                continue;
-            };
-            let revisions = self.state().mirrors.iter().map(|m| m.revision).collect();
-            let Ok(body) = encode(&UpdateRequest { revisions }) else {
-                continue;
-            };
-            // After a failure, the next round draws again; the membership excludes dead instances.
-            let Ok(answer) = peers.ask(peer, VIEW_KIND, body, PEER_QUERY_TIMEOUT).await else {
-                continue;
-            };
-            match decode::<UpdateResponse>(&answer) {
-                Ok(response) => self.apply_response(response),
-                Err(e) => log::warn!("ignored a malformed response from peer {peer}: {e}"),
+            Ok(_) => None,
+            Err(e) => {
+                journal::line("entry_ignored").text("error", &e.to_string());
+                None
             }
         }
     }
+}
 
-    fn apply_response(&self, response: UpdateResponse) {
-        for (index, mirror) in response.mirrors.into_iter().enumerate().take(MIRROR_COUNT) {
-            let Some(mirror) = mirror else {
-                continue;
-            };
-            let newer = mirror.revision > self.state().mirrors[index].revision;
-            if !newer {
-                continue;
-            }
-            let mut entries = BTreeMap::new();
-            for (key, value, mod_revision) in mirror.entries {
-                let entry = Entry {
-                    key: key.clone(),
-                    value,
-                    mod_revision,
-                };
-                entries.insert(key, entry);
-            }
-            self.install_snapshot(index, entries, mirror.revision);
+impl State {
+    /// Returns the age of the oldest news; `None` while a mirror has not been loaded.
+    fn news_age(&self, now: Duration) -> Option<Duration> {
+        let mut oldest = now;
+        for followed in &self.followed {
+            oldest = oldest.min(followed.news_at?);
         }
+        Some(now.saturating_sub(oldest))
+    }
+
+    /// Records that a call to the store failed at `at`, here or at another instance.
+    fn record_store_failure(&mut self, at: Duration) {
+        self.store_failed_at = self.store_failed_at.max(Some(at));
+        self.registry.record_store_failure(at);
+    }
+}
+
+fn apply_instances(state: &mut State, changed: &[String]) {
+    for key in changed {
+        let entry = state.followed[MIRROR_COUNT - 1].mirror.entry(key);
+        match entry.and_then(instances::decode_instance) {
+            Some(instance) => state.instance_by_key.insert(key.clone(), instance),
+            None => state.instance_by_key.remove(key),
+        };
     }
+    state.view.instances = state.instance_by_key.values().cloned().collect();
+}
+
+fn longest_warmup(view: &PlatformView) -> Duration {
+    let table = view.route_table.as_ref();
+    let services = table.into_iter().flat_map(|t| t.services.values());
+    services.map(|s| s.warmup).max().unwrap_or_default()
 }
 
 /// Journals the targets that are new, changed their leaving state, were restarted or are gone.
@@ -441,33 +393,3 @@
         }
     }
 }
-
-#[async_trait]
-impl PeerHandler for Follower {
-    fn kind(&self) -> &'static str {
-        VIEW_KIND
-    }
-
-    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
-        let request: UpdateRequest = decode(&body)?;
-        let mut mirrors = Vec::new();
-        {
-            let state = self.state();
-            for (index, mirror) in state.mirrors.iter().enumerate() {
-                let peer_revision = request.revisions.get(index).copied().unwrap_or(0);
-                if !mirror.loaded || mirror.revision <= peer_revision {
-                    mirrors.push(None);
-                    continue;
-                }
-                let entries = mirror.entries.values();
-                mirrors.push(Some(MirrorSnapshot {
-                    revision: mirror.revision,
-                    entries: entries
-                        .map(|e| (e.key.clone(), e.value.clone(), e.mod_revision))
-                        .collect(),
-                }));
-            }
-        }
-        encode(&UpdateResponse { mirrors })
-    }
-}
--- /dev/null
+++ b/src/gateway/follow/listen.rs
@@ -0,0 +1,129 @@
+//! Watches the store for one prefix while this instance is a listener.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::{Follower, WATCH_MARGIN, WATCH_WAIT};
+use crate::journal;
+use crate::store::StoreError;
+
+/// Shortest time between the starts of two watch calls. Changes that come in quick succession
+/// arrive together.
+const MIN_WATCH_PERIOD: Duration = Duration::from_millis(200);
+
+/// Pause after a failed store call, multiplied by a random factor from 0.5 to 1.5; doubled with
+/// each further failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Longest pause after a failed store call.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_000);
+
+impl Follower {
+    /// Watches a prefix whenever this instance is a listener.
+    pub(super) async fn listen(self: Arc<Self>, index: usize) {
+        let mut plan = self.plan_tx.subscribe();
+        let mut must_load = true;
+        let mut failures = 0;
+        loop {
+            if !plan.borrow_and_update().listens {
+                must_load = false;
+                failures = 0;
+                // The outcome of the last call says nothing about later ones.
+                self.state().followed[index].failing = false;
+                if plan.wait_for(|plan| plan.listens).await.is_err() {
+                    return;
+                }
+            }
+            let began = Instant::now();
+            let (prefix, revision, loaded) = {
+                let state = self.state();
+                let mirror = &state.followed[index].mirror;
+                (
+                    mirror.prefix().to_owned(),
+                    mirror.revision(),
+                    mirror.is_loaded(),
+                )
+            };
+            let result = if must_load || !loaded {
+                self.load_mirror(index, &prefix).await.map(|()| false)
+            } else {
+                self.update_mirror(index, &prefix, revision).await
+            };
+            match result {
+                Ok(history_lost) => {
+                    must_load = history_lost;
+                    failures = 0;
+                    self.record_success(index);
+                    sleep_until(began + MIN_WATCH_PERIOD).await;
+                }
+                Err(e) => {
+                    self.record_failure(index, &e);
+                    let pause = (RETRY_PAUSE * 2_u32.pow(failures)).min(MAX_RETRY_PAUSE);
+                    failures = (failures + 1).min(4);
+                    sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
+                }
+            }
+        }
+    }
+
+    async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
+        let (entries, revision) = self.deps.store.list_at(prefix).await?;
+        let mut state = self.state();
+        let changed = state.followed[index].mirror.load(entries, revision);
+        self.apply(&mut state, index, &changed);
+        Ok(())
+    }
+
+    /// Waits for changes of a prefix and applies them; returns whether the store has discarded the
+    /// changes, so that the prefix must be loaded again.
+    async fn update_mirror(
+        &self,
+        index: usize,
+        prefix: &str,
+        after: i64,
+    ) -> Result<bool, StoreError> {
+        let changes = self.deps.store.poll_changes(prefix, after, WATCH_WAIT);
+        let (events, at) = timeout(WATCH_WAIT + WATCH_MARGIN, changes)
+            .await
+            .map_err(|_| StoreError::ResponseLost("the watch call timed out".to_owned()))??;
+        let mut state = self.state();
+        let Ok(changed) = state.followed[index].mirror.apply(events, at) else {
+            journal::line("history_lost")
+                .text("prefix", prefix)
+                .value("after", after);
+            return Ok(true);
+        };
+        if !changed.is_empty() {
+            self.apply(&mut state, index, &changed);
+        }
+        Ok(false)
+    }
+
+    fn record_success(&self, index: usize) {
+        let now = self.now();
+        let mut state = self.state();
+        let followed = &mut state.followed[index];
+        if std::mem::take(&mut followed.failing) {
+            journal::line("store_back").text("prefix", followed.mirror.prefix());
+        }
+        self.record_news(&mut state, index, now);
+    }
+
+    fn record_failure(&self, index: usize, e: &StoreError) {
+        let now = self.now();
+        let mut state = self.state();
+        state.record_store_failure(now);
+        let followed = &mut state.followed[index];
+        if !std::mem::replace(&mut followed.failing, true) {
+            journal::line("store_lost")
+                .text("prefix", followed.mirror.prefix())
+                .value("revision", followed.mirror.revision())
+                .text("error", &e.to_string());
+            // Instances that poll this one must not wait for news that it does not get.
+            self.changes_tx.send_modify(|count| *count += 1);
+        }
+        self.check_news(&mut state);
+    }
+}
--- /dev/null
+++ b/src/gateway/follow/poll.rs
@@ -0,0 +1,351 @@
+//! Gets changes from other instances, and answers the instances that poll this one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{Follower, MAX_NEWS_AGE, State};
+use crate::gateway::listeners::LISTENERS;
+use crate::gateway::mirror::{Changes, Gap};
+use crate::id::InstanceId;
+use crate::journal;
+use crate::member::{Fleet, Health};
+use crate::peer::{PeerError, PeerHandler, Peers, decode, encode};
+use crate::store::Entry;
+
+/// How long a listener may wait for a change before it answers.
+const POLL_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Longest wait that another instance may request.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(10);
+
+/// Time in addition to [`POLL_WAIT`] within which a listener must answer.
+const POLL_MARGIN: Duration = Duration::from_millis(400);
+
+/// Pause after which a listener that has left the fleet is looked up again.
+const REPLAN_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often an instance without recent news queries a random instance.
+const PEER_QUERY_PERIOD: Duration = Duration::from_millis(300);
+
+/// Timeout of a query to a random instance; covers a round trip between regions.
+const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The kind of peer messages that request newer entries.
+const VIEW_KIND: &str = "world";
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireRequest {
+    /// The revision of each mirror; `None` for a mirror that has not been loaded.
+    revisions: Vec<Option<i64>>,
+    /// How long to wait for a change; 0 for an answer at once, which does not make the answering
+    /// instance a listener.
+    wait_ms: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireResponse {
+    /// The changes of each mirror, if there are any.
+    mirrors: Vec<Option<WireChanges>>,
+    /// The age of the answering instance's news, if it has any.
+    news_age_ms: Option<u32>,
+    /// The time since a call to the store failed at the answering instance.
+    store_failure_age_ms: Option<u32>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireChanges {
+    revision: i64,
+    is_snapshot: bool,
+    entries: Vec<(String, Bytes, i64)>,
+    deleted: Vec<(String, i64)>,
+    gap: Option<(i64, i64)>,
+}
+
+impl From<Changes> for WireChanges {
+    fn from(changes: Changes) -> Self {
+        let entries = changes.entries.into_iter();
+        Self {
+            revision: changes.revision,
+            is_snapshot: changes.is_snapshot,
+            entries: entries.map(|e| (e.key, e.value, e.mod_revision)).collect(),
+            deleted: changes.deleted,
+            gap: changes.gap.map(|g| (g.after, g.until)),
+        }
+    }
+}
+
+impl From<WireChanges> for Changes {
+    fn from(wire: WireChanges) -> Self {
+        let mut entries = Vec::with_capacity(wire.entries.len());
+        for (key, value, mod_revision) in wire.entries {
+            entries.push(Entry {
+                key,
+                value,
+                mod_revision,
+            });
+        }
+        Self {
+            revision: wire.revision,
+            is_snapshot: wire.is_snapshot,
+            entries,
+            deleted: wire.deleted,
+            gap: wire.gap.map(|(after, until)| Gap { after, until }),
+        }
+    }
+}
+
+impl Follower {
+    /// Starts the tasks that poll the listeners, and the task that queries random instances.
+    pub(super) fn start_polling(
+        self: &Arc<Self>,
+        fleet: &watch::Receiver<Arc<Fleet>>,
+        peers: &Arc<dyn Peers>,
+    ) {
+        for n in 0..LISTENERS {
+            tokio::spawn(Arc::clone(self).poll_listener(n, fleet.clone(), Arc::clone(peers)));
+        }
+        tokio::spawn(Arc::clone(self).query_random(fleet.clone(), Arc::clone(peers)));
+    }
+
+    /// Polls the `n`th listener of the data centre, unless this instance is one.
+    async fn poll_listener(
+        self: Arc<Self>,
+        n: usize,
+        fleet: watch::Receiver<Arc<Fleet>>,
+        peers: Arc<dyn Peers>,
+    ) {
+        let mut plan = self.plan_tx.subscribe();
+        loop {
+            let id = plan.borrow_and_update().sources.get(n).cloned();
+            let Some(id) = id else {
+                if plan.wait_for(|plan| plan.sources.len() > n).await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            let address = {
+                let fleet = fleet.borrow();
+                let member = fleet.members.iter().find(|m| m.id == id);
+                member.map(|m| m.peer)
+            };
+            let Some(address) = address else {
+                // The plan is older than the fleet.
+                sleep(REPLAN_PAUSE).await;
+                continue;
+            };
+            let Ok(request) = self.encode_request(POLL_WAIT) else {
+                return;
+            };
+            let answer = peers.ask(address, VIEW_KIND, request, POLL_WAIT + POLL_MARGIN);
+            let failure = match answer.await.and_then(|a| decode::<WireResponse>(&a)) {
+                Ok(response) => {
+                    let age = response.news_age_ms;
+                    self.apply_response(response);
+                    match age {
+                        Some(age) if millis(age) <= MAX_NEWS_AGE => None,
+                        _ => Some("its news is too old".to_owned()),
+                    }
+                }
+                Err(e) => Some(e.to_string()),
+            };
+            let pause = match failure {
+                None => {
+                    self.record_listener_success(&id);
+                    Duration::ZERO
+                }
+                Some(why) => self.record_listener_failure(&id, &why),
+            };
+            if !pause.is_zero() {
+                sleep(pause).await;
+                let fleet = Arc::clone(&fleet.borrow());
+                self.update_plan(&fleet);
+            }
+        }
+    }
+
+    fn record_listener_success(&self, id: &InstanceId) {
+        if self.state().listeners.record_success(id) {
+            journal::line("listener_back").text("peer", id.as_str());
+        }
+    }
+
+    fn record_listener_failure(&self, id: &InstanceId, why: &str) -> Duration {
+        let now = self.now();
+        let mut state = self.state();
+        let pause = state.listeners.record_failure(now, id);
+        journal::line("listener_lost")
+            .text("peer", id.as_str())
+            .text("error", why);
+        self.check_news(&mut state);
+        pause
+    }
+
+    /// Queries random instances that are not dead while this instance has no recent news.
+    async fn query_random(
+        self: Arc<Self>,
+        fleet: watch::Receiver<Arc<Fleet>>,
+        peers: Arc<dyn Peers>,
+    ) {
+        loop {
+            sleep(PEER_QUERY_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
+            if self.has_recent_news() {
+                continue;
+            }
+            let mut candidates = Vec::new();
+            for member in &fleet.borrow().members {
+                if member.id != self.deps.id && member.health != Health::Dead {
+                    candidates.push(member.peer);
+                }
+            }
+            let Some(peer) = candidates.choose(&mut rand::rng()).copied() else {
+                continue;
+            };
+            let Ok(request) = self.encode_request(Duration::ZERO) else {
+                return;
+            };
+            // After a failure, the next round draws again; the membership excludes dead instances.
+            let Ok(answer) = peers
+                .ask(peer, VIEW_KIND, request, PEER_QUERY_TIMEOUT)
+                .await
+            else {
+                continue;
+            };
+            match decode::<WireResponse>(&answer) {
+                Ok(response) => self.apply_response(response),
+                Err(e) => log::warn!("ignored a malformed response from peer {peer}: {e}"),
+            }
+        }
+    }
+
+    /// Whether the instance's own calls to the store succeed, or its news from others is recent.
+    fn has_recent_news(&self) -> bool {
+        let mut state = self.state();
+        self.check_news(&mut state);
+        state.has_recent_news && !state.followed.iter().any(|f| f.failing)
+    }
+
+    fn encode_request(&self, wait: Duration) -> Result<Bytes, PeerError> {
+        let mut revisions = Vec::new();
+        for followed in &self.state().followed {
+            let mirror = &followed.mirror;
+            revisions.push(mirror.is_loaded().then_some(mirror.revision()));
+        }
+        encode(&WireRequest {
+            revisions,
+            wait_ms: whole_millis(wait),
+        })
+    }
+
+    fn apply_response(&self, response: WireResponse) {
+        let now = self.now();
+        let mut state = self.state();
+        if let Some(age) = response.store_failure_age_ms {
+            state.record_store_failure(now.saturating_sub(millis(age)));
+        }
+        let count = state.followed.len();
+        for (index, changes) in response.mirrors.into_iter().enumerate().take(count) {
+            let Some(changes) = changes else {
+                continue;
+            };
+            let mirror = &mut state.followed[index].mirror;
+            let was_loaded = mirror.is_loaded();
+            let changed = mirror.merge(changes.into());
+            if !changed.is_empty() || !was_loaded {
+                self.apply(&mut state, index, &changed);
+            }
+        }
+        let Some(age) = response.news_age_ms else {
+            return;
+        };
+        for index in 0..count {
+            if state.followed[index].mirror.is_loaded() {
+                self.record_news(&mut state, index, now.saturating_sub(millis(age)));
+            }
+        }
+    }
+
+    /// Returns what the mirrors of another instance lack.
+    fn changes_for(&self, request: &WireRequest) -> Vec<Option<WireChanges>> {
+        let state = self.state();
+        let mut mirrors = Vec::with_capacity(state.followed.len());
+        for (index, followed) in state.followed.iter().enumerate() {
+            let revision = request.revisions.get(index).copied().flatten();
+            let changes = followed.mirror.changes_since(revision);
+            mirrors.push(changes.map(WireChanges::from));
+        }
+        mirrors
+    }
+}
+
+impl State {
+    /// Returns the age of the news that this instance passes on; `None` if its own calls to the
+    /// store fail.
+    fn shared_news_age(&self, now: Duration) -> Option<Duration> {
+        if self.followed.iter().any(|f| f.failing) {
+            return None;
+        }
+        self.news_age(now)
+    }
+}
+
+#[async_trait]
+impl PeerHandler for Follower {
+    fn kind(&self) -> &'static str {
+        VIEW_KIND
+    }
+
+    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
+        let request: WireRequest = decode(&body)?;
+        let wait = millis(request.wait_ms).min(MAX_POLL_WAIT);
+        let until = Instant::now() + wait;
+        if !wait.is_zero() {
+            let now = self.now();
+            self.state().listeners.record_polled(now);
+        }
+        let mut changes_rx = self.changes_tx.subscribe();
+        loop {
+            changes_rx.mark_unchanged();
+            let mirrors = self.changes_for(&request);
+            let now = self.now();
+            let (news_age, failed_at) = {
+                let state = self.state();
+                (state.shared_news_age(now), state.store_failed_at)
+            };
+            let is_recent = news_age.is_some_and(|age| age <= MAX_NEWS_AGE);
+            let has_changes = mirrors.iter().any(Option::is_some);
+            if !has_changes
+                && is_recent
+                && matches!(timeout_at(until, changes_rx.changed()).await, Ok(Ok(())))
+            {
+                continue;
+            }
+            let news_age = if has_changes || !is_recent {
+                news_age
+            } else {
+                // Time has passed since the age was computed.
+                let now = self.now();
+                self.state().shared_news_age(now)
+            };
+            return encode(&WireResponse {
+                mirrors,
+                news_age_ms: news_age.map(whole_millis),
+                store_failure_age_ms: failed_at.map(|at| whole_millis(now.saturating_sub(at))),
+            });
+        }
+    }
+}
+
+fn millis(n: u32) -> Duration {
+    Duration::from_millis(n.into())
+}
+
+fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -1,6 +1,5 @@
 //! Registration and discovery of instances through the store.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,32 +40,26 @@
     data_centre: SmolStr,
 }
 
-/// Decodes the instances' entries and skips those that are malformed.
-pub fn decode_instances(entries: &BTreeMap<String, Entry>) -> Vec<ListedInstance> {
-    let mut instances = Vec::new();
-    for (key, entry) in entries {
-        let Some(id) = key.strip_prefix(INSTANCES_PREFIX) else {
-            continue;
-        };
-        let wire: WireInstance = match serde_json::from_slice(&entry.value) {
-            Ok(wire) => wire,
-            Err(e) => {
-                journal::line("entry_ignored")
-                    .text("key", key)
-                    .text("error", &e.to_string());
-                continue;
-            }
-        };
-        instances.push(ListedInstance {
-            id: id.into(),
-            front: wire.front,
-            peer: wire.peer,
-            region: wire.region,
-            data_centre: wire.data_centre,
-            state: ServiceState::Live,
-        });
-    }
-    instances
+/// Decodes an instance's entry; returns `None` if the entry is malformed.
+pub fn decode_instance(entry: &Entry) -> Option<ListedInstance> {
+    let id = entry.key.strip_prefix(INSTANCES_PREFIX)?;
+    let wire: WireInstance = match serde_json::from_slice(&entry.value) {
+        Ok(wire) => wire,
+        Err(e) => {
+            journal::line("entry_ignored")
+                .text("key", &entry.key)
+                .text("error", &e.to_string());
+            return None;
+        }
+    };
+    Some(ListedInstance {
+        id: id.into(),
+        front: wire.front,
+        peer: wire.peer,
+        region: wire.region,
+        data_centre: wire.data_centre,
+        state: ServiceState::Live,
+    })
 }
 
 /// The list of instances, read from the instance's view of the platform.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -35,9 +35,9 @@
 }
 
 impl TargetRegistry {
-    /// Records that the store does not answer at `now`.
-    pub fn record_store_failure(&mut self, now: Duration) {
-        self.grace_until = now + ENTRY_RECOVERY_TIME;
+    /// Records that the store did not answer at `at`.
+    pub fn record_store_failure(&mut self, at: Duration) {
+        self.grace_until = self.grace_until.max(at + ENTRY_RECOVERY_TIME);
     }
 
     /// Takes over all entries that the store has, and removes targets without an entry unless a
@@ -50,37 +50,62 @@
         entries: BTreeMap<TargetId, TargetEntry>,
         warmup: impl Fn(&TargetEntry) -> Duration,
     ) {
-        let in_grace = now < self.grace_until;
-        for (id, known) in &mut self.targets {
-            if entries.contains_key(id) || known.missing_since.is_some() {
-                continue;
-            }
-            known.missing_since = Some(now);
-        }
-        if !in_grace {
-            self.targets
-                .retain(|id, known| known.missing_since.is_none() || entries.contains_key(id));
+        let listed = |id: &TargetId| entries.contains_key(id);
+        let missing = self.targets.keys().filter(|id| !listed(id)).cloned();
+        let missing: Vec<TargetId> = missing.collect();
+        for id in missing {
+            self.remove(now, &id);
         }
         for (id, entry) in entries {
-            let previous = self.targets.get(&id);
-            let restarted =
-                previous.is_some_and(|k| k.entry.started_unix_ms != entry.started_unix_ms);
-            // Targets that are older than this instance are only as cold as their entries say.
-            let started = self.initialized && (previous.is_none() || restarted);
-            let mut cold_for = entry.cold_for;
-            if started {
-                cold_for = cold_for.max(warmup(&entry));
-            }
-            let mut cold_until = now + cold_for;
-            if let Some(previous) = previous.filter(|_| !restarted) {
-                cold_until = cold_until.max(previous.cold_until);
-            }
-            let known = KnownTarget {
-                entry,
-                cold_until,
-                missing_since: None,
-            };
-            self.targets.insert(id, known);
+            let warmup = warmup(&entry);
+            self.insert(now, id, entry, warmup);
+        }
+        self.finish_update(now);
+    }
+
+    /// Takes over the entry of one target, which stays cold for `warmup` after its start.
+    pub fn insert(&mut self, now: Duration, id: TargetId, entry: TargetEntry, warmup: Duration) {
+        let previous = self.targets.get_mut(&id);
+        if let Some(previous) = previous
+            && previous.entry == entry
+        {
+            // The entry states the rest of the warm-up as of its own write.
+            previous.missing_since = None;
+            return;
+        }
+        let previous = self.targets.get(&id);
+        let restarted = previous.is_some_and(|k| k.entry.started_unix_ms != entry.started_unix_ms);
+        // Targets that are older than this instance are only as cold as their entries say.
+        let started = self.initialized && (previous.is_none() || restarted);
+        let mut cold_for = entry.cold_for;
+        if started {
+            cold_for = cold_for.max(warmup);
+        }
+        let mut cold_until = now + cold_for;
+        if let Some(previous) = previous.filter(|_| !restarted) {
+            cold_until = cold_until.max(previous.cold_until);
+        }
+        let known = KnownTarget {
+            entry,
+            cold_until,
+            missing_since: None,
+        };
+        self.targets.insert(id, known);
+    }
+
+    /// Records that the store no longer has the entry of a target. The target is removed by
+    /// [`TargetRegistry::finish_update`] unless a store outage may be the reason.
+    pub fn remove(&mut self, now: Duration, id: &TargetId) {
+        if let Some(known) = self.targets.get_mut(id) {
+            known.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Ends a series of insertions and removals.
+    pub fn finish_update(&mut self, now: Duration) {
+        if now >= self.grace_until {
+            self.targets
+                .retain(|_, known| known.missing_since.is_none());
         }
         self.initialized = true;
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -123,6 +123,7 @@
     let own = own_member(&services);
     let follower = Follower::new(FollowerDeps {
         id: own.id.clone(),
+        data_centre: own.data_centre.clone(),
         clock: services.clock,
         store: Arc::clone(&services.store),
         layout: (plugin.layout)(),
--- /dev/null
+++ b/tests/news.rs
@@ -0,0 +1,651 @@
+//! How news from the store reaches the instances: mirrors, the choice of listeners, and whole fleets
+//! in virtual time.
+
+#[path = "common/local_peers.rs"]
+mod local_peers;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use limpetstand::clock::Clock;
+use limpetstand::gateway::dialect::{Layout, MalformedEntry, PlatformEntry, TargetEntry};
+use limpetstand::gateway::listeners::{LISTENERS, Listeners};
+use limpetstand::gateway::mirror::{HistoryLost, Mirror};
+use limpetstand::gateway::platform_view::PlatformView;
+use limpetstand::gateway::{Follower, FollowerDeps};
+use limpetstand::id::{InstanceId, RegionId};
+use limpetstand::member::{Fleet, Health, Member};
+use limpetstand::store::{Entry, LeaseId, Precondition, Store, StoreError, SwapResult, WatchEvent};
+use proptest::prelude::*;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+use local_peers::Links;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn entry(key: &str, mod_revision: i64) -> Entry {
+    Entry {
+        key: key.to_owned(),
+        value: Bytes::from(format!("{key} at {mod_revision}")),
+        mod_revision,
+    }
+}
+
+fn keys(mirror: &Mirror, universe: &[String]) -> Vec<Entry> {
+    let entries = universe.iter().filter_map(|key| mirror.entry(key));
+    entries.cloned().collect()
+}
+
+#[test]
+fn a_mirror_sends_only_what_has_changed() {
+    let mut listener = Mirror::new("k/");
+    listener.load(vec![entry("k/a", 1), entry("k/b", 2)], 5);
+    let mut follower = Mirror::new("k/");
+    let first = listener.changes_since(None).expect("a snapshot");
+    assert!(first.is_snapshot);
+    assert_eq!(follower.merge(first), ["k/a", "k/b"]);
+    assert_eq!(listener.changes_since(Some(follower.revision())), None);
+    let events = vec![
+        WatchEvent::Put(entry("k/c", 7)),
+        WatchEvent::Delete("k/a".to_owned(), 8),
+    ];
+    assert_eq!(
+        listener.apply(events, 9),
+        Ok(vec!["k/c".into(), "k/a".into()])
+    );
+    let next = listener.changes_since(Some(5)).expect("changes");
+    assert!(!next.is_snapshot);
+    assert_eq!(next.entries.len() + next.deleted.len(), 2);
+    follower.merge(next);
+    assert_eq!(follower.entry("k/a"), None);
+    assert_eq!(follower.entry("k/c"), listener.entry("k/c"));
+}
+
+#[test]
+fn a_reload_after_a_lost_history_tells_followers_what_was_deleted() {
+    let mut listener = Mirror::new("k/");
+    listener.load(vec![entry("k/a", 1), entry("k/b", 2)], 5);
+    assert_eq!(listener.apply(vec![WatchEvent::Gap], 6), Err(HistoryLost));
+    assert_eq!(listener.load(vec![entry("k/b", 2)], 9), ["k/a"]);
+    let changes = listener.changes_since(Some(5)).expect("changes");
+    assert!(!changes.is_snapshot);
+    assert_eq!(changes.deleted, [("k/a".to_owned(), 9)]);
+    // An older list reverts nothing.
+    assert!(listener.load(vec![entry("k/a", 1)], 4).is_empty());
+    assert_eq!(listener.entry("k/a"), None);
+}
+
+/// A step of the test of chained mirrors.
+#[derive(Debug, Clone)]
+enum Step {
+    Write(usize),
+    Delete(usize),
+    /// The listener with this index reads the store's events.
+    Watch(usize),
+    /// The listener with this index lists the store.
+    List(usize),
+    /// The follower polls the listener with this index.
+    Poll(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..6_usize).prop_map(Step::Write),
+        2 => (0..6_usize).prop_map(Step::Delete),
+        2 => (0..2_usize).prop_map(Step::Watch),
+        1 => (0..2_usize).prop_map(Step::List),
+        3 => (0..2_usize).prop_map(Step::Poll),
+    ]
+}
+
+proptest! {
+    /// A follower of two listeners that lag differently ends with the store's entries, and its
+    /// entries never become older.
+    #[test]
+    fn mirrors_converge_and_never_revert(steps in prop::collection::vec(step(), 1..80)) {
+        let universe: Vec<String> = (0..6).map(|n| format!("k/{n}")).collect();
+        let mut store: BTreeMap<String, Entry> = BTreeMap::new();
+        let mut history: Vec<(i64, WatchEvent)> = Vec::new();
+        let mut revision = 0;
+        let mut listeners = [Mirror::new("k/"), Mirror::new("k/")];
+        let mut follower = Mirror::new("k/");
+        let mut seen: BTreeMap<String, i64> = BTreeMap::new();
+        for listener in &mut listeners {
+            listener.load(Vec::new(), 0);
+        }
+        let catch_up = |mirror: &mut Mirror, history: &[(i64, WatchEvent)], revision| {
+            let since = mirror.revision();
+            let events = history.iter().filter(|(at, _)| *at > since);
+            let events = events.map(|(_, e)| e.clone()).collect();
+            mirror.apply(events, revision).expect("the whole history");
+        };
+        let poll = |follower: &mut Mirror, listener: &Mirror| {
+            let known = follower.is_loaded().then_some(follower.revision());
+            if let Some(changes) = listener.changes_since(known) {
+                follower.merge(changes);
+            }
+        };
+        for step in steps {
+            match step {
+                Step::Write(n) => {
+                    revision += 1;
+                    let written = entry(&universe[n], revision);
+                    store.insert(written.key.clone(), written.clone());
+                    history.push((revision, WatchEvent::Put(written)));
+                }
+                Step::Delete(n) => {
+                    if store.remove(&universe[n]).is_some() {
+                        revision += 1;
+                        history.push((revision, WatchEvent::Delete(universe[n].clone(), revision)));
+                    }
+                }
+                Step::Watch(n) => catch_up(&mut listeners[n], &history, revision),
+                Step::List(n) => {
+                    listeners[n].load(store.values().cloned().collect(), revision);
+                }
+                Step::Poll(n) => poll(&mut follower, &listeners[n]),
+            }
+            for found in keys(&follower, &universe) {
+                let before = seen.insert(found.key.clone(), found.mod_revision);
+                prop_assert!(before <= Some(found.mod_revision), "{found:?} reverts {before:?}");
+            }
+        }
+        for n in [1, 0, 1] {
+            catch_up(&mut listeners[n], &history, revision);
+            poll(&mut follower, &listeners[n]);
+        }
+        let expected: Vec<Entry> = store.into_values().collect();
+        prop_assert_eq!(keys(&follower, &universe), expected);
+    }
+}
+
+fn names(n: usize) -> Vec<InstanceId> {
+    (0..n).map(|i| format!("i{i}").into()).collect()
+}
+
+#[test]
+fn two_instances_of_a_data_centre_listen_and_the_others_poll_both() {
+    let live = names(50);
+    let mut listeners = BTreeSet::new();
+    let mut polled = BTreeSet::new();
+    for own in &live {
+        let plan = Listeners::default().plan(ms(0), "a", own, &live, true);
+        if plan.listens {
+            listeners.insert(own.clone());
+            assert!(plan.sources.is_empty());
+        } else {
+            assert_eq!(plan.sources.len(), LISTENERS);
+            polled.extend(plan.sources);
+        }
+    }
+    assert_eq!(listeners.len(), LISTENERS);
+    assert_eq!(listeners, polled);
+}
+
+#[test]
+fn a_failed_listener_is_replaced_and_tried_again_later() {
+    let live = names(10);
+    let own = live.iter().find(|id| {
+        let plan = Listeners::default().plan(ms(0), "a", id, &live, true);
+        !plan.listens
+    });
+    let own = own.expect("a follower");
+    let mut experience = Listeners::default();
+    let before = experience.plan(ms(0), "a", own, &live, true).sources;
+    let pause = experience.record_failure(ms(0), &before[0]);
+    assert!(pause > Duration::ZERO);
+    let after = experience.plan(ms(100), "a", own, &live, true).sources;
+    assert_eq!(after[0], before[1]);
+    assert!(!after.contains(&before[0]));
+    let later = experience.plan(ms(1_600), "a", own, &live, true).sources;
+    assert_eq!(later, before);
+    // A second failure in a row keeps it out for longer.
+    experience.record_failure(ms(1_600), &before[0]);
+    let out = experience.plan(ms(4_000), "a", own, &live, true).sources;
+    assert!(!out.contains(&before[0]));
+    assert!(experience.record_success(&before[0]));
+    assert!(!experience.record_success(&before[0]));
+}
+
+#[test]
+fn an_instance_that_reaches_no_other_listens_itself() {
+    let live = names(4);
+    for own in &live {
+        let mut experience = Listeners::default();
+        for other in live.iter().filter(|id| *id != own) {
+            experience.record_failure(ms(0), other);
+        }
+        assert!(experience.plan(ms(10), "a", own, &live, true).listens);
+    }
+}
+
+#[test]
+fn a_polled_instance_listens_until_nobody_polls_it() {
+    let live = names(10);
+    for own in &live {
+        let mut experience = Listeners::default();
+        let listened = experience.plan(ms(0), "a", own, &live, true).listens;
+        experience.record_polled(ms(0));
+        assert!(experience.plan(ms(3_900), "a", own, &live, true).listens);
+        let later = experience.plan(ms(4_100), "a", own, &live, true).listens;
+        assert_eq!(later, listened);
+    }
+}
+
+#[test]
+fn a_listener_whose_calls_fail_polls_others() {
+    let live = names(10);
+    for own in &live {
+        let plan = Listeners::default().plan(ms(0), "a", own, &live, false);
+        assert_eq!(plan.sources.len(), LISTENERS);
+        assert!(!plan.sources.contains(own));
+    }
+}
+
+/// A store that keeps the whole history of its changes and counts calls.
+#[derive(Default)]
+struct HistoryStore {
+    data: Mutex<HistoryData>,
+    changed: tokio::sync::Notify,
+    calls: AtomicU64,
+}
+
+#[derive(Default)]
+struct HistoryData {
+    revision: i64,
+    entries: BTreeMap<String, Entry>,
+    history: Vec<(i64, WatchEvent)>,
+}
+
+impl HistoryStore {
+    fn put(&self, key: &str, value: &str) {
+        let mut data = self.data.lock().expect("present");
+        data.revision += 1;
+        let revision = data.revision;
+        let written = Entry {
+            key: key.to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+            mod_revision: revision,
+        };
+        data.entries.insert(key.to_owned(), written.clone());
+        data.history.push((revision, WatchEvent::Put(written)));
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    fn events(&self, prefix: &str, after: i64) -> (Vec<WatchEvent>, i64) {
+        let data = self.data.lock().expect("present");
+        let mut events = Vec::new();
+        for (at, event) in &data.history {
+            let key = match event {
+                WatchEvent::Put(entry) => &entry.key,
+                WatchEvent::Delete(key, _) => key,
+                WatchEvent::Gap => continue,
+            };
+            if *at > after && key.starts_with(prefix) {
+                events.push(event.clone());
+            }
+        }
+        (events, data.revision)
+    }
+}
+
+/// One instance's connection to the store, which a test can cut.
+struct Connection {
+    store: Arc<HistoryStore>,
+    cut: AtomicBool,
+}
+
+impl Connection {
+    /// How long a call on a cut connection takes to fail.
+    const CUT_TIMEOUT: Duration = Duration::from_secs(2);
+
+    async fn call(&self) -> Result<(), StoreError> {
+        self.store.calls.fetch_add(1, Ordering::Relaxed);
+        if self.cut.load(Ordering::Relaxed) {
+            sleep(Self::CUT_TIMEOUT).await;
+            return Err(StoreError::Unreachable("cut".to_owned()));
+        }
+        sleep(ms(4)).await;
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Store for Connection {
+    async fn get(&self, _: &str) -> Result<Option<Entry>, StoreError> {
+        unimplemented!("followers list and watch")
+    }
+
+    async fn list(&self, _: &str) -> Result<Vec<Entry>, StoreError> {
+        unimplemented!("followers list with a revision")
+    }
+
+    async fn swap(
+        &self,
+        _: &str,
+        _: Precondition,
+        _: Bytes,
+        _: Option<LeaseId>,
+    ) -> Result<SwapResult, StoreError> {
+        unimplemented!("followers do not write")
+    }
+
+    async fn delete(&self, _: &str, _: i64) -> Result<bool, StoreError> {
+        unimplemented!("followers do not write")
+    }
+
+    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        unimplemented!("followers do not write")
+    }
+
+    async fn keep_alive(&self, _: LeaseId) -> Result<Duration, StoreError> {
+        unimplemented!("followers do not write")
+    }
+
+    async fn revoke(&self, _: LeaseId) -> Result<(), StoreError> {
+        unimplemented!("followers do not write")
+    }
+
+    async fn watch(&self, _: &str) -> Result<mpsc::Receiver<WatchEvent>, StoreError> {
+        unimplemented!("followers poll for changes")
+    }
+
+    async fn list_at(&self, prefix: &str) -> Result<(Vec<Entry>, i64), StoreError> {
+        self.call().await?;
+        let data = self.store.data.lock().expect("present");
+        let listed = data.entries.values().filter(|e| e.key.starts_with(prefix));
+        Ok((listed.cloned().collect(), data.revision))
+    }
+
+    async fn poll_changes(
+        &self,
+        prefix: &str,
+        after: i64,
+        wait: Duration,
+    ) -> Result<(Vec<WatchEvent>, i64), StoreError> {
+        self.call().await?;
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.store.changed.notified();
+            let (events, at) = self.store.events(prefix, after);
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                return Ok((events, at));
+            }
+            let _ = timeout(left, changed).await;
+            if self.cut.load(Ordering::Relaxed) {
+                // Nothing more arrives on a cut connection.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+/// Evacuations under `op/`, targets under `servers/`.
+struct TestLayout;
+
+impl Layout for TestLayout {
+    fn settings_prefix(&self) -> &str {
+        "op/"
+    }
+
+    fn registry_prefix(&self) -> &str {
+        "servers/"
+    }
+
+    fn decode(&self, key: &str, value: &[u8]) -> Result<Option<PlatformEntry>, MalformedEntry> {
+        if let Some(data_centre) = key.strip_prefix("op/evacuate/") {
+            return Ok(Some(PlatformEntry::Evacuation(data_centre.into())));
+        }
+        let Some(id) = key.strip_prefix("servers/") else {
+            return Ok(None);
+        };
+        let target = TargetEntry {
+            service: "s".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            data_centre: "a0".into(),
+            slots: 8,
+            leaving: value == b"leaving",
+            cold_for: Duration::ZERO,
+            started_unix_ms: 1,
+        };
+        Ok(Some(PlatformEntry::Target(id.into(), target)))
+    }
+}
+
+struct TestInstance {
+    id: InstanceId,
+    data_centre: SmolStr,
+    address: SocketAddr,
+    connection: Arc<Connection>,
+    view: watch::Receiver<Arc<PlatformView>>,
+}
+
+impl TestInstance {
+    fn knows_leaving(&self, target: &str) -> bool {
+        let view = self.view.borrow();
+        let known = view.targets.get(&target.into());
+        known.is_some_and(|t| t.entry.leaving)
+    }
+}
+
+/// A fleet of followers over in-memory links.
+struct TestFleet {
+    store: Arc<HistoryStore>,
+    links: Arc<Links>,
+    instances: Vec<TestInstance>,
+    fleet_tx: watch::Sender<Arc<Fleet>>,
+}
+
+impl TestFleet {
+    /// Starts `count` instances in `data_centres` data centres of one region each.
+    async fn start(count: usize, data_centres: usize) -> Self {
+        let store: Arc<HistoryStore> = Arc::default();
+        for n in 0..20 {
+            store.put(&format!("servers/t{n}"), "ready");
+        }
+        let links = Links::new();
+        links.set_round_trip(ms(2));
+        let mut members = Vec::new();
+        for n in 0..count {
+            let ip = IpAddr::from(Ipv4Addr::from(0x0a00_0001 + u32::try_from(n).expect("few")));
+            let data_centre = n % data_centres;
+            members.push(Member {
+                id: format!("i{n}").into(),
+                incarnation: 1,
+                front: SocketAddr::new(ip, 1),
+                peer: SocketAddr::new(ip, 2),
+                region: format!("r{data_centre}").into(),
+                data_centre: format!("a{data_centre}").into(),
+                health: Health::Live,
+            });
+        }
+        let mut regions: BTreeMap<SmolStr, RegionId> = BTreeMap::new();
+        for member in &members {
+            regions.insert(member.data_centre.clone(), member.region.clone());
+        }
+        let fleet = Fleet {
+            members: members.clone(),
+            targets: Vec::new(),
+        };
+        let (fleet_tx, fleet) = watch::channel(Arc::new(fleet));
+        let mut instances = Vec::new();
+        for member in members {
+            let connection = Arc::new(Connection {
+                store: Arc::clone(&store),
+                cut: AtomicBool::new(false),
+            });
+            let follower = Follower::new(FollowerDeps {
+                id: member.id.clone(),
+                data_centre: member.data_centre.clone(),
+                clock: Clock::start(),
+                store: Arc::clone(&connection) as Arc<dyn Store>,
+                layout: Arc::new(TestLayout),
+                regions: regions.clone(),
+            });
+            follower.start(fleet.clone(), links.from(member.peer));
+            links.serve(member.peer, Arc::clone(&follower) as _);
+            instances.push(TestInstance {
+                id: member.id,
+                data_centre: member.data_centre,
+                address: member.peer,
+                connection,
+                view: follower.view(),
+            });
+        }
+        sleep(ms(5_000)).await;
+        Self {
+            store,
+            links,
+            instances,
+            fleet_tx,
+        }
+    }
+
+    fn calls(&self) -> u64 {
+        self.store.calls.load(Ordering::Relaxed)
+    }
+
+    /// Marks a target as leaving; returns the time until all instances of `instances` know it.
+    async fn time_to_all(&self, target: &str, instances: &[&TestInstance]) -> Duration {
+        self.store.put(&format!("servers/{target}"), "leaving");
+        let began = Instant::now();
+        while !instances.iter().all(|i| i.knows_leaving(target)) {
+            assert!(
+                began.elapsed() < ms(20_000),
+                "{target} is not known everywhere"
+            );
+            sleep(ms(20)).await;
+        }
+        began.elapsed()
+    }
+
+    /// Returns the instances that listen, first in order, in a data centre.
+    fn listeners(&self, data_centre: &str) -> Vec<&TestInstance> {
+        let in_data_centre = |i: &&TestInstance| i.data_centre == data_centre;
+        let local: Vec<&TestInstance> = self.instances.iter().filter(in_data_centre).collect();
+        let live: Vec<InstanceId> = local.iter().map(|i| i.id.clone()).collect();
+        let listens = |i: &&TestInstance| {
+            let plan = Listeners::default().plan(ms(0), data_centre, &i.id, &live, true);
+            plan.listens
+        };
+        local.into_iter().filter(listens).collect()
+    }
+
+    fn all(&self) -> Vec<&TestInstance> {
+        self.instances.iter().collect()
+    }
+
+    fn all_but(&self, left_out: &[&TestInstance]) -> Vec<&TestInstance> {
+        let is_left_out = |i: &&TestInstance| left_out.iter().any(|l| l.id == i.id);
+        self.instances.iter().filter(|i| !is_left_out(i)).collect()
+    }
+}
+
+/// The time within which a drained target must get no more requests; the smallest of the bounds
+/// that the platform states.
+const DRAIN_BOUND: Duration = Duration::from_millis(4_000);
+
+/// Fleets of 9 to 1,000 instances: the store is asked as often as there are data centres, and the
+/// news is as fresh, however many instances there are.
+#[tokio::test(start_paused = true)]
+async fn store_calls_grow_with_data_centres_and_not_with_instances() {
+    for (count, data_centres) in [(9, 3), (30, 6), (100, 6), (300, 6), (1_000, 6)] {
+        let fleet = TestFleet::start(count, data_centres).await;
+        let listeners = (data_centres * LISTENERS) as u64;
+        let before = fleet.calls();
+        sleep(ms(10_000)).await;
+        let at_rest = fleet.calls() - before;
+        // Three prefixes, a call of 2.5 s each.
+        assert!(
+            at_rest <= listeners * 3 * 5,
+            "{count}: {at_rest} calls at rest"
+        );
+        let before = fleet.calls();
+        for n in 0..100 {
+            fleet.store.put(&format!("servers/t{}", n % 20), "ready");
+            sleep(ms(100)).await;
+        }
+        let changing = fleet.calls() - before;
+        // At most five calls a second for the prefix that changes.
+        assert!(
+            changing <= listeners * (50 + 2 * 5),
+            "{count}: {changing} calls while the registry changes"
+        );
+        let age = fleet.time_to_all("t3", &fleet.all()).await;
+        assert!(age < ms(500), "{count}: known everywhere after {age:?}");
+        println!("{count} instances: {at_rest} calls at rest, {changing} changing, {age:?} to all");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_arrives_in_time_while_both_listeners_are_gone_or_cut_off() {
+    let fleet = TestFleet::start(60, 3).await;
+    let lost = fleet.listeners("a1");
+    assert_eq!(lost.len(), LISTENERS);
+    // Killed, while the membership has not noticed yet.
+    for listener in &lost {
+        fleet.links.stop(listener.address);
+        listener.connection.cut.store(true, Ordering::Relaxed);
+    }
+    let age = fleet.time_to_all("t1", &fleet.all_but(&lost)).await;
+    assert!(age < DRAIN_BOUND, "after a kill: {age:?}");
+    // Cut off from the store only.
+    let cut = fleet.listeners("a2");
+    for listener in &cut {
+        listener.connection.cut.store(true, Ordering::Relaxed);
+    }
+    let age = fleet.time_to_all("t2", &fleet.all_but(&lost)).await;
+    assert!(age < DRAIN_BOUND, "after a cut from the store: {age:?}");
+    // Frozen: they take requests and do not answer.
+    let frozen = fleet.listeners("a0");
+    for follower in &fleet.instances {
+        for listener in &frozen {
+            fleet
+                .links
+                .set_cut(follower.address, listener.address, true);
+        }
+    }
+    let mut left_out = lost.clone();
+    left_out.extend(frozen);
+    let age = fleet.time_to_all("t3", &fleet.all_but(&left_out)).await;
+    assert!(age < DRAIN_BOUND, "while the listeners are frozen: {age:?}");
+    assert!(fleet.fleet_tx.receiver_count() > 0);
+}
+
+/// During an outage of the store the instances must not all turn to it.
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_the_store_does_not_turn_all_instances_into_listeners() {
+    let fleet = TestFleet::start(300, 6).await;
+    let set_cut = |cut| {
+        for instance in &fleet.instances {
+            instance.connection.cut.store(cut, Ordering::Relaxed);
+        }
+    };
+    set_cut(true);
+    let before = fleet.calls();
+    sleep(ms(10_000)).await;
+    let calls = fleet.calls() - before;
+    assert!(calls < 300 * 3, "{calls} calls in an outage of 10 s");
+    set_cut(false);
+    let age = fleet.time_to_all("t5", &fleet.all()).await;
+    assert!(age < DRAIN_BOUND, "after the outage: {age:?}");
+    sleep(ms(10_000)).await;
+    let before = fleet.calls();
+    sleep(ms(10_000)).await;
+    let at_rest = fleet.calls() - before;
+    assert!(
+        at_rest <= 12 * 3 * 5,
+        "{at_rest} calls at rest after the outage"
+    );
+}
