--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -33,6 +33,7 @@
 pub mod listeners;
 pub mod load_shedding;
 pub mod mirror;
+mod placement;
 pub mod platform_view;
 pub mod pool;
 pub mod quota;
@@ -43,6 +44,7 @@
 pub mod retry;
 pub mod routes;
 mod run;
+pub mod scheduler;
 pub mod settings;
 mod source;
 pub mod tolerance;
@@ -55,8 +57,10 @@
 pub use self::run::run;
 
 use self::callers::InFlightGuard;
-use self::dialect::Dialect;
+use self::dialect::{Dialect, PromptPart};
 use self::job::Job;
+use self::load_shedding::TypicalPrefill;
+use self::placement::{Reports, Scheduling};
 use self::platform_view::PlatformView;
 use self::pool::Pool;
 use self::quota::Quota;
@@ -65,7 +69,7 @@
 use self::settings::ReloadableSettings;
 use self::upstream::TargetConnections;
 use crate::clock::Clock;
-use crate::id::{InstanceId, RegionId};
+use crate::id::{InstanceId, RegionId, RouteId};
 use crate::member::Fleet;
 use crate::peer::{PeerError, PeerHandler, Peers, RelayAnswer, RelayHandler, decode, encode};
 use crate::refusal::{Code, Refusal};
@@ -109,6 +113,9 @@
     pool: Mutex<Pool>,
     retries: Mutex<HashMap<SmolStr, Budget>>,
     remote_waits: Mutex<RegionWaits>,
+    scheduling: Mutex<Scheduling>,
+    reports: Reports,
+    typical_prefill: Mutex<TypicalPrefill>,
     leaving: AtomicBool,
     in_flight: Arc<AtomicUsize>,
 }
@@ -160,6 +167,16 @@
         fleet.members.len().max(view.instances.len()).max(1)
     }
 
+    /// Records the prompt of a route's request; returns the time that reading the route's prompts
+    /// takes on average.
+    fn record_prompt(&self, route: &RouteId, prompt: &[PromptPart]) -> Duration {
+        let mut typical_prefill = lock(&self.typical_prefill);
+        if let Some(own) = prompt.last() {
+            typical_prefill.record(route, pool::prefill_time(own.tokens.into()));
+        }
+        typical_prefill.of(route)
+    }
+
     fn record_request(&self, job: &Job) {
         let retry_bound = self.reloadable_settings().retry;
         let mut retries = lock(&self.retries);
@@ -204,7 +221,7 @@
         waits
     }
 
-    /// Queries a random live instance of each other region for its expected wait, if the expected
+    /// Queries a random scheduler of each other region for its expected wait, if the expected
     /// wait in this region is long.
     fn query_remote_waits(self: &Arc<Self>, service: &SmolStr, local_wait_ms: f64) {
         if local_wait_ms < WAIT_QUERY_THRESHOLD_MS {
@@ -223,8 +240,7 @@
             if *region == self.region {
                 continue;
             }
-            let fleet = self.fleet();
-            let peers: Vec<_> = fleet.live_members(region).map(|m| m.peer).collect();
+            let peers = self.schedulers_of(region);
             if peers.is_empty() {
                 continue;
             }
@@ -253,8 +269,15 @@
     }
 
     /// Returns the shortest expected wait of a request without a prompt in this region, in
-    /// milliseconds.
+    /// milliseconds: at the targets that this instance schedules, or else as a scheduler has lately
+    /// told it.
     fn min_wait(&self, service: &SmolStr) -> Option<f64> {
+        if let Some(wait_ms) = self.min_scheduled_wait(service) {
+            return Some(wait_ms);
+        }
+        if let Some(wait_ms) = self.remote_waits(service).get(&self.region) {
+            return Some(*wait_ms);
+        }
         self.query_pool(service, &[], &[], |pool, now, view, query| {
             pool.evaluate(now, view, &self.region, query, rand::random)
         })
@@ -298,7 +321,7 @@
             return (refused_head(job.attempts, refusal), None);
         }
         let service = job.service.clone();
-        let (mut head, source) = match self.0.run_local(&mut job).await {
+        let (mut head, source) = match self.0.run_local(&mut job, None).await {
             Ok(reply) => {
                 let outcome = WireOutcome::Answer {
                     status: reply.status.as_u16(),
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -17,8 +17,9 @@
 use super::dialect::{PromptPart, ResponseHead, TargetHeaders};
 use super::job::{Failure, Job, Reply};
 use super::load_shedding;
+use super::placement::{Place, Placed, Placement};
 use super::platform_view::PlatformView;
-use super::pool::{Choice, Pool, TargetQuery};
+use super::pool::{Choice, Pool, TargetEvent, TargetQuery};
 use super::region;
 use super::source::{Source, TargetRequestGuard, TargetSource};
 use super::upstream::{Connection, SendError};
@@ -100,7 +101,13 @@
         let mut last_failure: Option<Failure> = None;
         let started = tokio::time::Instant::now();
         loop {
-            let stats = self.region_stats(job);
+            let is_local = job.regions.contains(&self.region) && !tried.contains(&self.region);
+            let placement = if is_local && is_scheduled(job) {
+                Some(self.place(job, &[]).await)
+            } else {
+                None
+            };
+            let stats = self.region_stats(job, placement.as_ref());
             let chosen = region::choose(&self.region, &job.regions, &tried, &stats, rand::random());
             let Some(chosen) = chosen else {
                 if tried.is_empty() && self.is_starting() && started.elapsed() < STARTUP_WAIT {
@@ -110,8 +117,9 @@
                 return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
             };
             let outcome = if chosen == self.region {
-                self.run_local(job).await
+                self.run_local(job, placement).await
             } else {
+                drop(placement);
                 self.relay_to_region(job, &chosen, &stats).await
             };
             let failure = match outcome {
@@ -139,8 +147,12 @@
         self.clock.now() < STARTUP_TIME
     }
 
-    /// Runs a request at targets of this region.
-    pub(super) async fn run_local(self: &Arc<Self>, job: &mut Job) -> Result<Reply, Failure> {
+    /// Runs a request at targets of this region, first at that of `placement` if it is given.
+    pub(super) async fn run_local(
+        self: &Arc<Self>,
+        job: &mut Job,
+        mut placement: Option<Placement>,
+    ) -> Result<Reply, Failure> {
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unreachable_targets = 0;
         let mut first_send = true;
@@ -149,16 +161,27 @@
         }
         let mut last_failure: Option<Failure> = None;
         loop {
-            let Some(choice) = self.choose(job, &tried) else {
-                return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
+            let placed = match placement.take() {
+                Some(placement) => placement,
+                None => self.choose(job, &tried).await,
+            };
+            let placed = match placed {
+                Placement::Placed(placed) => *placed,
+                Placement::Overloaded(wait_ms) => {
+                    return Err(self.overloaded_failure(job, wait_ms));
+                }
+                Placement::NoTarget => {
+                    return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
+                }
             };
+            let Placed { choice, place } = placed;
             if !first_send && job.attempts > 0 && !self.try_take_retry(job) {
                 return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
             }
             if let Some(failure) = self.refuse_if_overloaded(job, &choice) {
                 return Err(failure);
             }
-            let outcome = self.attempt(job, &choice).await;
+            let outcome = self.attempt(job, &choice, place).await;
             let failure = match outcome {
                 Ok(reply) => return Ok(reply),
                 Err(AttemptError::NotReached(why)) => {
@@ -198,15 +221,18 @@
     /// Refuses a request that would wait too long, unless the request has already been sent to a
     /// target.
     fn refuse_if_overloaded(&self, job: &Job, choice: &Choice) -> Option<Failure> {
-        let max_wait = load_shedding::max_wait(job.objective, job.priority);
-        let expected_wait =
-            Duration::try_from_secs_f64(choice.wait_ms / 1_000.0).unwrap_or_default();
-        if job.attempts > 0 || expected_wait <= max_wait {
+        if job.attempts > 0 || from_millis(choice.wait_ms) <= job.max_wait {
             return None;
         }
-        let refusal = Refusal::not_run(Code::Overloaded, "the targets are behind")
-            .retry_after(load_shedding::retry_after(expected_wait, max_wait));
-        Some(self.failure(job, refusal))
+        Some(self.overloaded_failure(job, choice.wait_ms))
+    }
+
+    /// Creates the failure of a request that would wait for `wait_ms`.
+    fn overloaded_failure(&self, job: &Job, wait_ms: f64) -> Failure {
+        let refusal = Refusal::not_run(Code::Overloaded, "the targets are behind").retry_after(
+            load_shedding::retry_after(from_millis(wait_ms), job.max_wait),
+        );
+        self.failure(job, refusal)
     }
 
     pub(super) fn failure(&self, job: &Job, refusal: Refusal) -> Failure {
@@ -217,13 +243,23 @@
         }
     }
 
-    fn choose(&self, job: &Job, tried: &[TargetId]) -> Option<Choice> {
-        self.query_pool(
+    async fn choose(self: &Arc<Self>, job: &Job, tried: &[TargetId]) -> Placement {
+        if is_scheduled(job) {
+            return self.place(job, tried).await;
+        }
+        let choice = self.query_pool(
             &job.service,
             &job.prompt,
             tried,
             |pool, now, view, query| pool.choose(now, view, &self.region, query, rand::random),
-        )
+        );
+        match choice {
+            Some(choice) => Placement::Placed(Box::new(Placed {
+                choice,
+                place: None,
+            })),
+            None => Placement::NoTarget,
+        }
     }
 
     /// Calls `run_query` with the pool and a query built from the region's known instances and the
@@ -262,6 +298,7 @@
             own_id: self.id.as_str(),
             instances: &instances,
             warmup,
+            owned_since: None,
         };
         run_query(&mut self.pool(), self.clock.now(), &view, &query)
     }
@@ -272,20 +309,26 @@
         self: &Arc<Self>,
         job: &mut Job,
         choice: &Choice,
+        mut place: Option<Place>,
     ) -> Result<Reply, AttemptError> {
         let address = choice.known.entry.address;
         let force_new = !job.kind.may_repeat();
         let connection = match self.upstream().connection(address, force_new).await {
             Ok(connection) => connection,
-            Err(e) => return Err(AttemptError::NotReached(e.to_string())),
+            Err(e) => {
+                if let Some(place) = place {
+                    place.report(TargetEvent::Unreachable);
+                }
+                return Err(AttemptError::NotReached(e.to_string()));
+            }
         };
         let reused = connection.is_reused();
-        match self.send(job, choice, connection).await {
+        match self.send(job, choice, connection, place.take()).await {
             Err(AttemptError::NotReached(_)) if reused => {
                 // The target had closed the reused connection.
                 let connection = self.upstream().connection(address, true).await;
                 let connection = connection.map_err(|e| AttemptError::NotReached(e.to_string()))?;
-                self.send(job, choice, connection).await
+                self.send(job, choice, connection, None).await
             }
             outcome => outcome,
         }
@@ -296,18 +339,19 @@
         job: &mut Job,
         choice: &Choice,
         mut connection: Connection,
+        place: Option<Place>,
     ) -> Result<Reply, AttemptError> {
-        let instances = self.fleet().live_members(&self.region).count();
         let now = self.clock.now();
         let load_age = format_ms(self.pool().load_report_age(now, &choice.id).map(to_millis));
-        let prefill_tokens = self.pool().record_send(now, choice, &job.prompt, instances);
-        let mut request_guard =
-            TargetRequestGuard::new(Arc::clone(self), choice.id.clone(), prefill_tokens);
+        let has_place = place.is_some();
+        let mut request_guard = match place {
+            Some(place) => TargetRequestGuard::Reserved(place),
+            None => self.count_request(now, job, choice),
+        };
         let req = self.build_request(job, choice)?;
         let sent_at = tokio::time::Instant::now();
         let attempts_left = job.attempts_left().saturating_sub(1);
-        let expected_wait =
-            Duration::try_from_secs_f64(choice.wait_ms / 1_000.0).unwrap_or_default();
+        let expected_wait = from_millis(choice.wait_ms);
         let head_timeout = attempt_timeout::for_head(
             job.kind,
             job.objective + expected_wait,
@@ -320,6 +364,7 @@
             .value("attempt", job.attempts + 1)
             .value("expected_wait_ms", format_args!("{:.0}", choice.wait_ms))
             .value("load_age_ms", load_age)
+            .value("place_reserved", has_place)
             .value("kept_connection", connection.is_reused())
             .ms("time_left_ms", job.time_left());
         let result = match timeout(head_timeout, connection.send(req)).await {
@@ -331,11 +376,13 @@
         let response = match result {
             Some(Ok(response)) => response,
             Some(Err(e)) => {
+                request_guard.report(TargetEvent::Unreachable);
                 self.eject_target(job, choice, &e.to_string());
                 let refusal = Refusal::unknown(Code::TargetFailed, e.to_string());
                 return Err(AttemptError::Unknown(refusal));
             }
             None => {
+                request_guard.report(TargetEvent::Failed);
                 self.pool().record_error(&choice.id);
                 journal::line("target_silent")
                     .text("request", &job.id)
@@ -351,6 +398,19 @@
         self.read_answer_head(job, choice, response, connection, request_guard)
     }
 
+    /// Counts a request that is sent without a place. The other instances of the region are assumed
+    /// to send as much as this one.
+    fn count_request(
+        self: &Arc<Self>,
+        now: Duration,
+        job: &Job,
+        choice: &Choice,
+    ) -> TargetRequestGuard {
+        let instances = self.fleet().live_members(&self.region).count();
+        let prefill_tokens = self.pool().record_send(now, choice, &job.prompt, instances);
+        TargetRequestGuard::counted(Arc::clone(self), choice.id.clone(), prefill_tokens)
+    }
+
     /// Checks the head of a target's answer and decides whether to pass the answer on.
     fn read_answer_head(
         &self,
@@ -366,8 +426,10 @@
         if let Some((running, waiting, _)) = response_head.load {
             self.pool()
                 .record_load_report(now, &choice.id, running, waiting);
+            request_guard.report(TargetEvent::Load { running, waiting });
         }
         if response_head.wrong_target {
+            request_guard.report(TargetEvent::Unreachable);
             self.eject_target(job, choice, "another target has its address");
             return Err(AttemptError::NotRun("the target has gone".to_owned()));
         }
@@ -381,6 +443,7 @@
             || (response_head.id.is_none() && parts.status.is_success())
         {
             self.pool().record_error(&choice.id);
+            request_guard.report(TargetEvent::Failed);
             let refusal = Refusal::unknown(
                 Code::TargetFailed,
                 "the answer does not carry the id of this request",
@@ -395,12 +458,14 @@
         }
         if parts.status.is_server_error() {
             self.pool().record_error(&choice.id);
+            request_guard.report(TargetEvent::Failed);
             if job.kind.may_repeat() && job.attempts_left() > 0 {
                 let refusal = Refusal::unknown(Code::TargetFailed, "the target failed");
                 return Err(AttemptError::Unknown(refusal));
             }
         } else {
             self.pool().record_success(&choice.id);
+            request_guard.report(TargetEvent::Succeeded);
         }
         let keep_alive = keep_alive_after(&parts.headers, &response_head);
         let mut headers = parts.headers;
@@ -414,7 +479,8 @@
                 body,
                 connection: Some(connection),
                 keep_alive,
-                request_guard,
+                _request_guard: request_guard,
+                connections: self.upstream.clone(),
             })),
         })
     }
@@ -485,6 +551,16 @@
         .ms("time_left_ms", job.time_left())
 }
 
+/// Tells whether the targets of a request have schedulers. The targets of requests without prompts
+/// report their load with each answer, and their answers take little time.
+fn is_scheduled(job: &Job) -> bool {
+    !job.prompt.is_empty()
+}
+
+fn from_millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
+}
+
 fn to_millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -20,6 +20,7 @@
 use super::dialect::RequestHead;
 use super::job::Job;
 use super::listen::Handler;
+use super::load_shedding;
 use super::quota::Charge;
 use super::routes::{CallerLimits, OrganisationPolicy, Route, RouteTable, allows_region};
 use crate::front::reply::refusal_json;
@@ -190,16 +191,19 @@
         self.0.dialect.strip_reserved(&mut headers);
         strip_hop_by_hop_headers(&mut headers);
         let path = parts.uri.path_and_query();
+        let priority = combined_priority(organisation_priority, route.priority);
+        let typical_prefill = self.0.record_prompt(&route.name, &head.prompt);
         Job {
             id: head.id.clone(),
             route: route.name.clone(),
             kind: route.kind,
             service,
             organisation: admitted.organisation.map(|(o, _)| o),
-            priority: combined_priority(organisation_priority, route.priority),
+            priority,
             max_attempts: route.max_attempts.max(1),
             attempts: 0,
             objective: route.objective,
+            max_wait: load_shedding::max_wait(route.objective, priority, typical_prefill),
             deadline,
             method: parts.method,
             path: path.map_or("/", |p| p.as_str()).to_owned(),
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -5,6 +5,7 @@
 use super::Gateway;
 use super::attempts::{attempt_failed_line, format_ms, no_target_failure};
 use super::job::{Failure, Job, Reply};
+use super::placement::Placement;
 use super::pool;
 use super::region::RegionStats;
 use super::relay::{WireHead, WireJob, WireOutcome, headers_from_wire, status_from_wire};
@@ -126,7 +127,12 @@
     }
 
     /// Returns what the instance knows about the regions that have targets for a request.
-    pub(super) fn region_stats(self: &Arc<Self>, job: &Job) -> RegionStats {
+    /// `placement` is the outcome of the request for a place in this region, if there was one.
+    pub(super) fn region_stats(
+        self: &Arc<Self>,
+        job: &Job,
+        placement: Option<&Placement>,
+    ) -> RegionStats {
         let view = self.view();
         let mut stats = RegionStats {
             capacity: pool::capacity(&view, &job.service),
@@ -137,14 +143,16 @@
         stats.capacity.retain(|region, _| {
             *region == self.region || fleet.live_members(region).next().is_some()
         });
-        let quote = self.query_pool(&job.service, &job.prompt, &[], |pool, now, view, query| {
-            pool.evaluate(now, view, &self.region, query, rand::random)
-        });
-        match quote {
-            Some(choice) => {
-                stats.own_targets_ejected = choice.ejected;
-                stats.wait_ms.insert(self.region.clone(), choice.wait_ms);
-                self.query_remote_waits(&job.service, choice.wait_ms);
+        let (wait_ms, ejected) = match placement {
+            Some(Placement::Placed(placed)) => (Some(placed.choice.wait_ms), placed.choice.ejected),
+            Some(placement) => (placement.wait_ms(), false),
+            None => self.local_quote(job),
+        };
+        match wait_ms {
+            Some(wait_ms) => {
+                stats.own_targets_ejected = ejected;
+                stats.wait_ms.insert(self.region.clone(), wait_ms);
+                self.query_remote_waits(&job.service, wait_ms);
             }
             // No target of this region takes the request, for example because all targets are cold
             // and have reached their warm-up rate.
@@ -154,4 +162,16 @@
         }
         stats
     }
+
+    /// Returns the expected wait at the best target of this region, and whether that target is
+    /// ejected.
+    fn local_quote(&self, job: &Job) -> (Option<f64>, bool) {
+        let quote = self.query_pool(&job.service, &job.prompt, &[], |pool, now, view, query| {
+            pool.evaluate(now, view, &self.region, query, rand::random)
+        });
+        match quote {
+            Some(choice) => (Some(choice.wait_ms), choice.ejected),
+            None => (None, false),
+        }
+    }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -104,6 +104,8 @@
     /// Counts the changes of the mirrors, for the instances that wait for one.
     changes_tx: watch::Sender<u64>,
     plan_tx: watch::Sender<Plan>,
+    /// Held while large values are read, so that each is read once.
+    large_values_lock: tokio::sync::Mutex<()>,
 }
 
 impl Follower {
@@ -142,6 +144,7 @@
             tx,
             changes_tx,
             plan_tx,
+            large_values_lock: tokio::sync::Mutex::default(),
         })
     }
 
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -1,5 +1,6 @@
 //! Gets changes from other instances, and answers the instances that poll this one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +29,15 @@
 /// Time in addition to [`POLL_WAIT`] within which a listener must answer.
 const POLL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Size above which the value of an entry is not sent to the instances that poll this one; they read
+/// it from the store. A small instance's link would be busy for seconds with sending a large
+/// configuration to all its followers.
+const MAX_SENT_VALUE_BYTES: usize = 8 * 1024;
+
+/// Longest random delay before a large value is read from the store, so that not all instances
+/// read it at once.
+const MAX_READ_DELAY: Duration = Duration::from_millis(300);
+
 /// Pause after which a listener that has left the fleet is looked up again.
 const REPLAN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -47,6 +57,8 @@
     /// How long to wait for a change; 0 for an answer at once, which does not make the answering
     /// instance a listener.
     wait_ms: u32,
+    /// Whether to send the values of large entries too.
+    with_large: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -63,44 +75,34 @@
 struct WireChanges {
     revision: i64,
     is_snapshot: bool,
-    entries: Vec<(String, Bytes, i64)>,
+    /// The key, the value and the revision of each entry; the value of a large entry is left out
+    /// unless it was requested.
+    entries: Vec<(String, Option<Bytes>, i64)>,
     deleted: Vec<(String, i64)>,
     gap: Option<(i64, i64)>,
 }
 
-impl From<Changes> for WireChanges {
-    fn from(changes: Changes) -> Self {
-        let entries = changes.entries.into_iter();
+impl WireChanges {
+    fn new(changes: Changes, with_large: bool) -> Self {
+        let mut entries = Vec::with_capacity(changes.entries.len());
+        for entry in changes.entries {
+            let is_sent = with_large || entry.value.len() <= MAX_SENT_VALUE_BYTES;
+            entries.push((
+                entry.key,
+                is_sent.then_some(entry.value),
+                entry.mod_revision,
+            ));
+        }
         Self {
             revision: changes.revision,
             is_snapshot: changes.is_snapshot,
-            entries: entries.map(|e| (e.key, e.value, e.mod_revision)).collect(),
+            entries,
             deleted: changes.deleted,
             gap: changes.gap.map(|g| (g.after, g.until)),
         }
     }
 }
 
-impl From<WireChanges> for Changes {
-    fn from(wire: WireChanges) -> Self {
-        let mut entries = Vec::with_capacity(wire.entries.len());
-        for (key, value, mod_revision) in wire.entries {
-            entries.push(Entry {
-                key,
-                value,
-                mod_revision,
-            });
-        }
-        Self {
-            revision: wire.revision,
-            is_snapshot: wire.is_snapshot,
-            entries,
-            deleted: wire.deleted,
-            gap: wire.gap.map(|(after, until)| Gap { after, until }),
-        }
-    }
-}
-
 impl Follower {
     /// Starts the tasks that poll the listeners, and the task that queries random instances.
     pub(super) fn start_polling(
@@ -140,13 +142,14 @@
                 sleep(REPLAN_PAUSE).await;
                 continue;
             };
-            let Ok(request) = self.encode_request(POLL_WAIT) else {
+            let Ok(request) = self.encode_request(POLL_WAIT, false) else {
                 return;
             };
             let answer = peers.ask(address, VIEW_KIND, request, POLL_WAIT + POLL_MARGIN);
             let failure = match answer.await.and_then(|a| decode::<WireResponse>(&a)) {
                 Ok(response) => {
                     let age = response.news_age_ms;
+                    let response = self.add_large_values(response, address, &*peers).await;
                     self.apply_response(response);
                     match age {
                         Some(age) if millis(age) <= MAX_NEWS_AGE => None,
@@ -207,7 +210,7 @@
             let Some(peer) = candidates.choose(&mut rand::rng()).copied() else {
                 continue;
             };
-            let Ok(request) = self.encode_request(Duration::ZERO) else {
+            let Ok(request) = self.encode_request(Duration::ZERO, true) else {
                 return;
             };
             // After a failure, the next round draws again; the membership excludes dead instances.
@@ -231,7 +234,7 @@
         state.has_recent_news && !state.followed.iter().any(|f| f.failing)
     }
 
-    fn encode_request(&self, wait: Duration) -> Result<Bytes, PeerError> {
+    fn encode_request(&self, wait: Duration, with_large: bool) -> Result<Bytes, PeerError> {
         let mut revisions = Vec::new();
         for followed in &self.state().followed {
             let mirror = &followed.mirror;
@@ -240,9 +243,74 @@
         encode(&WireRequest {
             revisions,
             wait_ms: whole_millis(wait),
+            with_large,
         })
     }
 
+    /// Completes a response by the values of large entries: as this instance has them, as read from
+    /// the store or, if the store does not answer, as requested again from the listener.
+    async fn add_large_values(
+        &self,
+        mut response: WireResponse,
+        listener: SocketAddr,
+        peers: &dyn Peers,
+    ) -> WireResponse {
+        let is_missing = |m: &Option<WireChanges>| {
+            let mut entries = m.iter().flat_map(|m| &m.entries);
+            entries.any(|(_, value, _)| value.is_none())
+        };
+        if !response.mirrors.iter().any(is_missing) {
+            return response;
+        }
+        // One task reads a value; the other then finds it in the mirror.
+        let _guard = self.large_values_lock.lock().await;
+        for (index, changes) in response.mirrors.iter_mut().enumerate() {
+            let Some(changes) = changes else {
+                continue;
+            };
+            for (key, value, revision) in &mut changes.entries {
+                if value.is_some() {
+                    continue;
+                }
+                let known = self.known_entry(index, key, *revision);
+                let read = match known {
+                    Some(known) => Ok(Some(known)),
+                    None => {
+                        sleep(MAX_READ_DELAY.mul_f64(rand::random())).await;
+                        self.deps.store.get(key).await
+                    }
+                };
+                match read {
+                    Ok(Some(entry)) if entry.mod_revision >= *revision => {
+                        *revision = entry.mod_revision;
+                        *value = Some(entry.value);
+                    }
+                    // The entry was deleted since, or the store's answer is old or missing.
+                    _ => {}
+                }
+            }
+        }
+        if !response.mirrors.iter().any(is_missing) {
+            return response;
+        }
+        let Ok(request) = self.encode_request(Duration::ZERO, true) else {
+            return response;
+        };
+        // Without an answer, the entries stay missing and are sent again at the next poll.
+        let answer = peers.ask(listener, VIEW_KIND, request, POLL_WAIT).await;
+        match answer.and_then(|a| decode::<WireResponse>(&a)) {
+            Ok(complete) => complete,
+            Err(_) => response,
+        }
+    }
+
+    /// Returns an entry of a mirror that is at least as new as `revision`.
+    fn known_entry(&self, index: usize, key: &str, revision: i64) -> Option<Entry> {
+        let state = self.state();
+        let entry = state.followed.get(index)?.mirror.entry(key)?;
+        (entry.mod_revision >= revision).then(|| entry.clone())
+    }
+
     fn apply_response(&self, response: WireResponse) {
         let now = self.now();
         let mut state = self.state();
@@ -251,12 +319,12 @@
         }
         let count = state.followed.len();
         for (index, changes) in response.mirrors.into_iter().enumerate().take(count) {
-            let Some(changes) = changes else {
+            let Some(changes) = changes.and_then(without_missing_values) else {
                 continue;
             };
             let mirror = &mut state.followed[index].mirror;
             let was_loaded = mirror.is_loaded();
-            let changed = mirror.merge(changes.into());
+            let changed = mirror.merge(changes);
             if !changed.is_empty() || !was_loaded {
                 self.apply(&mut state, index, &changed);
             }
@@ -278,7 +346,7 @@
         for (index, followed) in state.followed.iter().enumerate() {
             let revision = request.revisions.get(index).copied().flatten();
             let changes = followed.mirror.changes_since(revision);
-            mirrors.push(changes.map(WireChanges::from));
+            mirrors.push(changes.map(|c| WireChanges::new(c, request.with_large)));
         }
         mirrors
     }
@@ -342,6 +410,26 @@
     }
 }
 
+/// Converts changes from their form in messages; `None` if a value is missing, so that the mirror
+/// must not count as up to date.
+fn without_missing_values(wire: WireChanges) -> Option<Changes> {
+    let mut entries = Vec::with_capacity(wire.entries.len());
+    for (key, value, mod_revision) in wire.entries {
+        entries.push(Entry {
+            key,
+            value: value?,
+            mod_revision,
+        });
+    }
+    Some(Changes {
+        revision: wire.revision,
+        is_snapshot: wire.is_snapshot,
+        entries,
+        deleted: wire.deleted,
+        gap: wire.gap.map(|(after, until)| Gap { after, until }),
+    })
+}
+
 fn millis(n: u32) -> Duration {
     Duration::from_millis(n.into())
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -35,6 +35,8 @@
     pub attempts: u32,
     /// The latency objective of the route.
     pub objective: Duration,
+    /// How long the request may wait before a target starts on it.
+    pub max_wait: Duration,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
     /// The HTTP method.
--- a/src/gateway/load_shedding.rs
+++ b/src/gateway/load_shedding.rs
@@ -5,8 +5,14 @@
 //! ratio of its objective at every target is refused at once, with a `Retry-After` that allows for
 //! the queue to drain. The ratio is smaller for less urgent requests.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::id::RouteId;
+
+/// Weight of the newest prompt in the moving average of a route's time to read a prompt.
+const TYPICAL_PREFILL_WEIGHT: f64 = 0.05;
+
 /// Longest wait of the most urgent requests (priority 0), as a ratio of their objective.
 const MAX_WAIT_RATIO: f64 = 1.2;
 
@@ -22,10 +28,41 @@
 /// Longest `Retry-After` of a refused request; callers wait for a third of their time.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_600);
 
+/// Smallest part of the objective that is left for the wait however long prompts take to read.
+const MIN_WAIT_PART: f64 = 0.3;
+
 /// Returns how long a request may wait before a target starts on it.
-pub fn max_wait(objective: Duration, priority: u8) -> Duration {
+///
+/// `typical_prefill` is the time that reading a prompt of the request's route takes on average. A
+/// route with long prompts has that much less time to wait, so at a full target its requests are
+/// refused before short ones, which cost the target little. The average is used rather than the
+/// request's own time, so that the longest prompts of a route are not refused more often than its
+/// others.
+pub fn max_wait(objective: Duration, priority: u8, typical_prefill: Duration) -> Duration {
     let ratio = MAX_WAIT_RATIO - f64::from(priority) * WAIT_RATIO_STEP;
-    objective.mul_f64(ratio.max(MIN_WAIT_RATIO))
+    let time_to_wait = objective
+        .saturating_sub(typical_prefill)
+        .max(objective.mul_f64(MIN_WAIT_PART));
+    time_to_wait.mul_f64(ratio.max(MIN_WAIT_RATIO))
+}
+
+/// The average time that reading a prompt takes, by route.
+#[derive(Debug, Clone, Default)]
+pub struct TypicalPrefill(HashMap<RouteId, f64>);
+
+impl TypicalPrefill {
+    /// Records the time that a prompt of a route takes.
+    pub fn record(&mut self, route: &RouteId, prefill: Duration) {
+        let prefill_s = prefill.as_secs_f64();
+        let average_s = self.0.entry(route.clone()).or_insert(prefill_s);
+        *average_s += (prefill_s - *average_s) * TYPICAL_PREFILL_WEIGHT;
+    }
+
+    /// Returns the average of a route; zero before the first prompt.
+    pub fn of(&self, route: &RouteId) -> Duration {
+        let average_s = self.0.get(route).copied().unwrap_or(0.0);
+        Duration::try_from_secs_f64(average_s).unwrap_or_default()
+    }
 }
 
 /// Returns the `Retry-After` of a request refused because its expected wait exceeds `max_wait`.
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,580 @@
+//! Asks the scheduler of a target for a place, answers such requests, and reports to schedulers how
+//! the requests went.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::dialect::PromptPart;
+use super::job::Job;
+use super::platform_view::PlatformView;
+use super::pool::{self, Choice, TargetEvent, TargetQuery};
+use super::scheduler::{Scheduler, scheduler_of, schedulers};
+use super::{Gateway, lock};
+use crate::id::{InstanceId, RegionId, TargetId};
+use crate::journal;
+use crate::member::Fleet;
+use crate::peer::{PeerError, PeerHandler, decode, encode};
+
+/// Timeout of a request for a place; covers a round trip within a region and a busy scheduler.
+const PLACE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// How long a scheduler that has not answered is passed over.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// How long reports are collected before they are sent to a scheduler.
+const REPORT_DELAY: Duration = Duration::from_millis(25);
+
+/// Timeout of a message with reports. Lost reports are made up for by the expiry of reservations.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Number of schedulers that are asked before a request is refused.
+const MAX_SCHEDULERS_ASKED: usize = 2;
+
+/// Fraction of a cold target's request rate that its scheduler uses. While instances disagree on
+/// who is live, two instances may take themselves for the scheduler of a target.
+const SCHEDULER_WARMUP_FRACTION: f64 = 0.5;
+
+/// The kind of peer messages that request a place.
+const PLACE_KIND: &str = "place";
+
+/// The kind of peer messages that report how requests went.
+const REPORT_KIND: &str = "placed";
+
+/// A request for a place at a target.
+#[derive(Debug, Serialize, Deserialize)]
+struct WirePlaceRequest {
+    service: SmolStr,
+    prompt: Vec<(u64, u32)>,
+    tried: Vec<TargetId>,
+    /// Longest wait with which the request takes a place; `None` for any.
+    max_wait_ms: Option<f64>,
+    time_left_ms: u64,
+}
+
+/// The answer to a request for a place.
+#[derive(Debug, Serialize, Deserialize)]
+enum WirePlace {
+    Reserved {
+        reservation: u64,
+        target: TargetId,
+        wait_ms: f64,
+        cost_ms: f64,
+        ejected: bool,
+    },
+    /// Every target would keep the request waiting for too long; the shortest wait.
+    Overloaded(f64),
+    NoTarget,
+}
+
+/// Whether and where a request may be sent.
+pub(super) enum Placement {
+    /// The request may be sent to a target.
+    Placed(Box<Placed>),
+    /// Every target would keep the request waiting for too long; the shortest wait in milliseconds.
+    Overloaded(f64),
+    /// No target takes the request now.
+    NoTarget,
+}
+
+impl Placement {
+    /// The expected wait in milliseconds, if a target takes the request at all.
+    pub(super) fn wait_ms(&self) -> Option<f64> {
+        match self {
+            Self::Placed(placed) => Some(placed.choice.wait_ms),
+            Self::Overloaded(wait_ms) => Some(*wait_ms),
+            Self::NoTarget => None,
+        }
+    }
+}
+
+/// A chosen target, with the place that its scheduler reserved.
+pub(super) struct Placed {
+    pub choice: Choice,
+    pub place: Option<Place>,
+}
+
+/// A place at a target; the scheduler learns of its end when this value is dropped.
+pub(super) struct Place {
+    gateway: Arc<Gateway>,
+    /// The scheduler's address; `None` if it is this instance.
+    scheduler: Option<SocketAddr>,
+    reservation: u64,
+}
+
+impl Place {
+    /// Reports an event at the target to the scheduler.
+    pub(super) fn report(&self, event: TargetEvent) {
+        match self.scheduler {
+            Some(address) => self
+                .gateway
+                .reports
+                .push(address, WireReport::new(self.reservation, event)),
+            None => self.gateway.apply_report(self.reservation, event),
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.report(TargetEvent::Ended);
+    }
+}
+
+/// A report of one event, as encoded between instances.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct WireReport {
+    reservation: u64,
+    event: WireEvent,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+enum WireEvent {
+    Prefilled,
+    Load { running: u32, waiting: u32 },
+    Succeeded,
+    Failed,
+    Unreachable,
+    Ended,
+}
+
+impl WireReport {
+    fn new(reservation: u64, event: TargetEvent) -> Self {
+        Self {
+            reservation,
+            event: event.into(),
+        }
+    }
+}
+
+impl From<TargetEvent> for WireEvent {
+    fn from(event: TargetEvent) -> Self {
+        match event {
+            TargetEvent::Prefilled => Self::Prefilled,
+            TargetEvent::Load { running, waiting } => Self::Load { running, waiting },
+            TargetEvent::Succeeded => Self::Succeeded,
+            TargetEvent::Failed => Self::Failed,
+            TargetEvent::Unreachable => Self::Unreachable,
+            TargetEvent::Ended => Self::Ended,
+        }
+    }
+}
+
+impl From<WireEvent> for TargetEvent {
+    fn from(event: WireEvent) -> Self {
+        match event {
+            WireEvent::Prefilled => Self::Prefilled,
+            WireEvent::Load { running, waiting } => Self::Load { running, waiting },
+            WireEvent::Succeeded => Self::Succeeded,
+            WireEvent::Failed => Self::Failed,
+            WireEvent::Unreachable => Self::Unreachable,
+            WireEvent::Ended => Self::Ended,
+        }
+    }
+}
+
+/// Reports that wait to be sent, by scheduler.
+#[derive(Debug, Default)]
+pub(super) struct Reports {
+    pending: std::sync::Mutex<HashMap<SocketAddr, Vec<WireReport>>>,
+    added: Notify,
+}
+
+impl Reports {
+    fn push(&self, scheduler: SocketAddr, report: WireReport) {
+        lock(&self.pending)
+            .entry(scheduler)
+            .or_default()
+            .push(report);
+        self.added.notify_one();
+    }
+}
+
+/// Sends the reports to the schedulers until the runtime ends.
+pub(super) async fn send_reports(gateway: Arc<Gateway>) {
+    loop {
+        gateway.reports.added.notified().await;
+        sleep(REPORT_DELAY).await;
+        let pending = std::mem::take(&mut *lock(&gateway.reports.pending));
+        for (scheduler, reports) in pending {
+            let Ok(body) = encode(&reports) else {
+                continue;
+            };
+            let gateway = Arc::clone(&gateway);
+            tokio::spawn(async move {
+                let sent = gateway
+                    .peers
+                    .ask(scheduler, REPORT_KIND, body, REPORT_TIMEOUT);
+                if sent.await.is_err() {
+                    // The reservations expire at the scheduler, if it still runs.
+                    metrics::counter!("limpetstand_placement_reports_lost_total").increment(1);
+                }
+            });
+        }
+    }
+}
+
+/// The schedulers of each region, as this instance sees the fleet.
+#[derive(Debug, Default)]
+pub(super) struct Scheduling {
+    scheduler: Scheduler,
+    by_region: HashMap<RegionId, Vec<(InstanceId, SocketAddr)>>,
+    avoided_until: HashMap<InstanceId, Duration>,
+    fleet: Option<Arc<Fleet>>,
+    view: Option<Arc<PlatformView>>,
+}
+
+impl Scheduling {
+    /// Takes over a change of the fleet or of the targets.
+    fn update(&mut self, now: Duration, gateway: &Gateway) {
+        let (fleet, view) = (gateway.fleet(), gateway.view());
+        let is_current = self.fleet.as_ref().is_some_and(|f| Arc::ptr_eq(f, &fleet))
+            && self.view.as_ref().is_some_and(|v| Arc::ptr_eq(v, &view));
+        if is_current {
+            return;
+        }
+        self.by_region.clear();
+        for region in &gateway.regions {
+            let live: Vec<_> = fleet.live_members(region).collect();
+            let ids: Vec<&str> = live.iter().map(|m| m.id.as_str()).collect();
+            let mut ranked = Vec::new();
+            for id in schedulers(region.as_str(), &ids) {
+                if let Some(member) = live.iter().find(|m| m.id.as_str() == id) {
+                    ranked.push((member.id.clone(), member.peer));
+                }
+            }
+            self.by_region.insert(region.clone(), ranked);
+        }
+        let ids = self.scheduler_ids(&gateway.region, |_| true);
+        let mut owned = Vec::new();
+        for (target, known) in &view.targets {
+            if view.region_of(&known.entry.data_centre) == Some(&gateway.region)
+                && scheduler_of(target, &ids) == Some(gateway.id.as_str())
+            {
+                owned.push(target.clone());
+            }
+        }
+        self.scheduler.set_owned(now, &owned);
+        self.fleet = Some(fleet);
+        self.view = Some(view);
+    }
+
+    fn scheduler_ids(&self, region: &RegionId, keep: impl Fn(&InstanceId) -> bool) -> Vec<&str> {
+        let ranked = self.by_region.get(region).map(Vec::as_slice);
+        let kept = ranked.unwrap_or_default().iter().filter(|(id, _)| keep(id));
+        kept.map(|(id, _)| id.as_str()).collect()
+    }
+
+    fn avoids(&self, now: Duration, id: &InstanceId) -> bool {
+        self.avoided_until.get(id).is_some_and(|until| now < *until)
+    }
+}
+
+impl Gateway {
+    fn scheduling(&self) -> MutexGuard<'_, Scheduling> {
+        let mut scheduling = lock(&self.scheduling);
+        scheduling.update(self.clock.now(), self);
+        scheduling
+    }
+
+    /// Returns the schedulers of a region.
+    pub(super) fn schedulers_of(&self, region: &RegionId) -> Vec<SocketAddr> {
+        let scheduling = self.scheduling();
+        let ranked = scheduling.by_region.get(region);
+        ranked.map_or_else(Vec::new, |r| r.iter().map(|(_, peer)| *peer).collect())
+    }
+
+    /// Requests a place for a request with a prompt at a target of this region.
+    ///
+    /// If the scheduler of the target that suits best has no room, another scheduler is asked. If
+    /// none answers, this instance chooses a target by itself.
+    pub(super) async fn place(self: &Arc<Self>, job: &Job, tried: &[TargetId]) -> Placement {
+        let mut asked: Vec<InstanceId> = Vec::new();
+        let mut overloaded: Option<f64> = None;
+        while let Some((id, address)) = self.next_scheduler(job, tried, &asked) {
+            let (place, scheduler) = if id == self.id {
+                (Some(self.place_here(&place_request(job, tried))), None)
+            } else {
+                let place = self.ask_for_place(job, tried, &id, address).await;
+                (place, Some(address))
+            };
+            asked.push(id);
+            match place {
+                Some(WirePlace::Reserved {
+                    reservation,
+                    target,
+                    wait_ms,
+                    cost_ms,
+                    ejected,
+                }) => {
+                    let place = Place {
+                        gateway: Arc::clone(self),
+                        scheduler,
+                        reservation,
+                    };
+                    self.record_remote_wait(&self.region, &job.service, Some(wait_ms));
+                    let known = self.view().targets.get(&target).cloned();
+                    let Some(known) = known else {
+                        // The scheduler knows a newer registry.
+                        continue;
+                    };
+                    let choice = Choice {
+                        id: target,
+                        known,
+                        wait_ms,
+                        cost_ms,
+                        ejected,
+                    };
+                    return Placement::Placed(Box::new(Placed {
+                        choice,
+                        place: Some(place),
+                    }));
+                }
+                Some(WirePlace::Overloaded(wait_ms)) => {
+                    self.record_remote_wait(&self.region, &job.service, Some(wait_ms));
+                    let shortest = overloaded.map_or(wait_ms, |o| o.min(wait_ms));
+                    overloaded = Some(shortest);
+                }
+                Some(WirePlace::NoTarget) | None => {}
+            }
+            if asked.len() >= MAX_SCHEDULERS_ASKED {
+                break;
+            }
+        }
+        match overloaded {
+            Some(wait_ms) => Placement::Overloaded(wait_ms),
+            None => self.choose_alone(job, tried),
+        }
+    }
+
+    /// Returns the scheduler to ask next: first that of the target that suits the prompt best, then
+    /// a random one.
+    fn next_scheduler(
+        &self,
+        job: &Job,
+        tried: &[TargetId],
+        asked: &[InstanceId],
+    ) -> Option<(InstanceId, SocketAddr)> {
+        let now = self.clock.now();
+        let view = self.view();
+        let scheduling = self.scheduling();
+        let keep = |id: &InstanceId| !scheduling.avoids(now, id) && !asked.contains(id);
+        let ids = scheduling.scheduler_ids(&self.region, keep);
+        let id = if asked.is_empty() {
+            let preferred = pool::preferred(&view, &self.region, &job.service, &job.prompt, tried)?;
+            scheduler_of(preferred, &ids)?
+        } else if ids.is_empty() {
+            return None;
+        } else {
+            ids[rand::random_range(0..ids.len())]
+        };
+        let ranked = scheduling.by_region.get(&self.region)?;
+        ranked.iter().find(|(i, _)| i.as_str() == id).cloned()
+    }
+
+    async fn ask_for_place(
+        &self,
+        job: &Job,
+        tried: &[TargetId],
+        id: &InstanceId,
+        address: SocketAddr,
+    ) -> Option<WirePlace> {
+        let body = encode(&place_request(job, tried)).ok()?;
+        let timeout = PLACE_TIMEOUT.min(job.time_left());
+        let answer = self.peers.ask(address, PLACE_KIND, body, timeout).await;
+        match answer.and_then(|a| decode::<WirePlace>(&a)) {
+            Ok(place) => Some(place),
+            Err(e) => {
+                let until = self.clock.now() + AVOID_TIME;
+                lock(&self.scheduling)
+                    .avoided_until
+                    .insert(id.clone(), until);
+                metrics::counter!("limpetstand_placements_unanswered_total").increment(1);
+                journal::line("scheduler_lost")
+                    .text("request", &job.id)
+                    .text("peer", id.as_str())
+                    .text("error", &e.to_string());
+                None
+            }
+        }
+    }
+
+    /// Chooses a target without its scheduler. Cold targets are left out, as only their schedulers
+    /// know how many requests they have been sent.
+    fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
+        let choice = self.query_pool(
+            &job.service,
+            &job.prompt,
+            tried,
+            |pool, now, view, query| {
+                let query = TargetQuery {
+                    warmup: (0.0, 0.0),
+                    ..query.clone()
+                };
+                pool.choose(now, view, &self.region, &query, rand::random)
+            },
+        );
+        match choice {
+            Some(choice) => Placement::Placed(Box::new(Placed {
+                choice,
+                place: None,
+            })),
+            None => Placement::NoTarget,
+        }
+    }
+
+    /// Reserves a place at a target that this instance schedules.
+    fn place_here(&self, request: &WirePlaceRequest) -> WirePlace {
+        let mut prompt = Vec::with_capacity(request.prompt.len());
+        for (id, tokens) in &request.prompt {
+            prompt.push(PromptPart {
+                id: *id,
+                tokens: *tokens,
+            });
+        }
+        let now = self.clock.now();
+        let view = self.view();
+        let settings = self.reloadable_settings();
+        let mut scheduling = self.scheduling();
+        let query = TargetQuery {
+            service: &request.service,
+            prompt: &prompt,
+            tried: &request.tried,
+            own_id: self.id.as_str(),
+            instances: &[self.id.as_str()],
+            warmup: (
+                settings.warmup_overshoot * SCHEDULER_WARMUP_FRACTION,
+                settings.warmup_slack * SCHEDULER_WARMUP_FRACTION,
+            ),
+            owned_since: Some(scheduling.scheduler.owned_since()),
+        };
+        let mut pool = self.pool();
+        let quote = pool.evaluate(now, &view, &self.region, &query, rand::random);
+        let Some(quote) = quote else {
+            return WirePlace::NoTarget;
+        };
+        if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max) {
+            return WirePlace::Overloaded(quote.wait_ms);
+        }
+        pool.record_choice(now, &quote);
+        let tokens = pool.record_send(now, &quote, &prompt, 1);
+        drop(pool);
+        let time_left = Duration::from_millis(request.time_left_ms);
+        let reservation = scheduling
+            .scheduler
+            .reserve(now, quote.id.clone(), tokens, time_left);
+        WirePlace::Reserved {
+            reservation,
+            target: quote.id,
+            wait_ms: quote.wait_ms,
+            cost_ms: quote.cost_ms,
+            ejected: quote.ejected,
+        }
+    }
+
+    /// Applies a report about a place that this instance has reserved.
+    fn apply_report(&self, reservation: u64, event: TargetEvent) {
+        let now = self.clock.now();
+        let mut scheduling = lock(&self.scheduling);
+        let scheduler = &mut scheduling.scheduler;
+        let mut pool = self.pool();
+        match event {
+            TargetEvent::Prefilled => {
+                if let Some((target, tokens)) = scheduler.finish_prefill(reservation) {
+                    pool.record_prefill_done(&target, tokens);
+                }
+            }
+            TargetEvent::Ended => {
+                if let Some(ended) = scheduler.end(reservation) {
+                    pool.record_prefill_done(&ended.target, ended.prefill_tokens);
+                    pool.record_end(&ended.target);
+                }
+            }
+            event => {
+                if let Some(reserved) = scheduler.reservation(reservation) {
+                    pool.record_event(now, &reserved.target, event);
+                }
+            }
+        }
+    }
+
+    /// Ends the reservations whose holders have not reported in time.
+    pub(super) fn expire_reservations(&self) {
+        let expired = self.scheduling().scheduler.expire(self.clock.now());
+        let mut pool = self.pool();
+        for reservation in expired {
+            pool.record_prefill_done(&reservation.target, reservation.prefill_tokens);
+            pool.record_end(&reservation.target);
+        }
+    }
+
+    /// Returns the shortest expected wait at the targets that this instance schedules.
+    pub(super) fn min_scheduled_wait(&self, service: &SmolStr) -> Option<f64> {
+        let now = self.clock.now();
+        let view = self.view();
+        let scheduling = self.scheduling();
+        let query = TargetQuery {
+            service,
+            prompt: &[],
+            tried: &[],
+            own_id: self.id.as_str(),
+            instances: &[self.id.as_str()],
+            warmup: (0.0, 0.0),
+            owned_since: Some(scheduling.scheduler.owned_since()),
+        };
+        let mut pool = self.pool();
+        let quote = pool.evaluate(now, &view, &self.region, &query, rand::random)?;
+        Some(quote.wait_ms)
+    }
+}
+
+fn place_request(job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
+    WirePlaceRequest {
+        service: job.service.clone(),
+        prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
+        tried: tried.to_vec(),
+        max_wait_ms: (job.attempts == 0).then(|| job.max_wait.as_secs_f64() * 1_000.0),
+        time_left_ms: u64::try_from(job.time_left().as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Answers requests for a place.
+pub(super) struct PlaceHandler(pub Arc<Gateway>);
+
+#[async_trait]
+impl PeerHandler for PlaceHandler {
+    fn kind(&self) -> &'static str {
+        PLACE_KIND
+    }
+
+    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
+        let request: WirePlaceRequest = decode(&body)?;
+        encode(&self.0.place_here(&request))
+    }
+}
+
+/// Receives reports about places.
+pub(super) struct ReportHandler(pub Arc<Gateway>);
+
+#[async_trait]
+impl PeerHandler for ReportHandler {
+    fn kind(&self) -> &'static str {
+        REPORT_KIND
+    }
+
+    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
+        let reports: Vec<WireReport> = decode(&body)?;
+        for report in reports {
+            self.0.apply_report(report.reservation, report.event.into());
+        }
+        Ok(Bytes::new())
+    }
+}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -15,6 +15,7 @@
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
 use super::rendezvous::weight;
+use super::scheduler::TAKEOVER_TIME;
 use super::warmup::{self, RecentSends};
 use crate::id::{RegionId, TargetId};
 
@@ -103,6 +104,31 @@
     /// `(overshoot, slack)`: a cold target takes `warmup_per_s × overshoot + slack` requests per
     /// second.
     pub warmup: (f64, f64),
+    /// The targets to choose from and the time since which this instance has been their scheduler;
+    /// `None` for all targets.
+    pub owned_since: Option<&'a HashMap<TargetId, Duration>>,
+}
+
+/// An event at a target, as seen by the instance that sent a request to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetEvent {
+    /// The answer has begun, so the target has read the prompt.
+    Prefilled,
+    /// The target has reported its load.
+    Load {
+        /// Running requests.
+        running: u32,
+        /// Waiting requests.
+        waiting: u32,
+    },
+    /// The target has answered successfully.
+    Succeeded,
+    /// The target was reachable and failed the request.
+    Failed,
+    /// The target could not be reached or broke the connection.
+    Unreachable,
+    /// The request has ended.
+    Ended,
 }
 
 /// A chosen target.
@@ -139,6 +165,12 @@
         draw: impl FnMut() -> f64,
     ) -> Option<Choice> {
         let choice = self.evaluate(now, view, region, query, draw)?;
+        self.record_choice(now, &choice);
+        Some(choice)
+    }
+
+    /// Counts a choice that [`Pool::evaluate`] returned and that is about to be used.
+    pub fn record_choice(&mut self, now: Duration, choice: &Choice) {
         let state = self.state(&choice.id, &choice.known);
         if choice.known.cold_until > now {
             // The choice is counted before the send, as other requests choose while this request
@@ -149,7 +181,6 @@
             // One request at a time probes whether the target has recovered.
             state.ejected_until = state.ejected_until.max(now + RECOVERY_PROBE_TIME);
         }
-        Some(choice)
     }
 
     /// Returns the target that [`Pool::choose`] would choose, without counting the choice.
@@ -166,7 +197,11 @@
         let mut best: Option<Choice> = None;
         let mut fallback: Option<Choice> = None;
         for (id, known) in candidates {
-            if query.tried.contains(id) || !self.takes_another(now, view, id, known, query) {
+            let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
+            if !owned
+                || query.tried.contains(id)
+                || !self.takes_another(now, view, id, known, query)
+            {
                 continue;
             }
             let state = self.state(id, known);
@@ -222,6 +257,22 @@
         tokens
     }
 
+    /// Records an event at a target that another instance has reported.
+    pub fn record_event(&mut self, now: Duration, id: &TargetId, event: TargetEvent) {
+        match event {
+            TargetEvent::Load { running, waiting } => {
+                self.record_load_report(now, id, running, waiting);
+            }
+            TargetEvent::Succeeded => self.record_success(id),
+            TargetEvent::Failed => self.record_error(id),
+            TargetEvent::Unreachable => {
+                self.eject(now, id);
+            }
+            // These events concern one reservation, whose tokens the scheduler knows.
+            TargetEvent::Prefilled | TargetEvent::Ended => {}
+        }
+    }
+
     /// Records that an answer has begun, so that the target has prefilled the prompt.
     pub fn record_prefill_done(&mut self, id: &TargetId, tokens: u64) {
         if let Some(state) = self.states.get_mut(id) {
@@ -316,6 +367,10 @@
         if per_s <= 0.0 {
             return true;
         }
+        let owned_since = query.owned_since.and_then(|o| o.get(id));
+        if owned_since.is_some_and(|since| now < *since + TAKEOVER_TIME) {
+            return false;
+        }
         let (overshoot, slack) = query.warmup;
         let share = warmup::share(
             per_s * overshoot + slack,
@@ -398,6 +453,11 @@
     }
 }
 
+/// Returns the time that a target is expected to need for the prefill of prompt tokens.
+pub fn prefill_time(tokens: u64) -> Duration {
+    Duration::try_from_secs_f64(prefill_ms(tokens) / 1_000.0).unwrap_or_default()
+}
+
 /// Returns the time to prefill prompt tokens, in milliseconds.
 fn prefill_ms(tokens: u64) -> f64 {
     to_f64(tokens) * PREFILL_MS_PER_TOKEN
@@ -436,6 +496,13 @@
     prompt: &[PromptPart],
 ) -> Option<&'a TargetId> {
     let part = shared_parts(prompt).last()?;
+    first_by_weight(candidates, part)
+}
+
+fn first_by_weight<'a>(
+    candidates: &[(&'a TargetId, &'a KnownTarget)],
+    part: &PromptPart,
+) -> Option<&'a TargetId> {
     let key = part.id.to_be_bytes();
     candidates
         .iter()
@@ -443,6 +510,21 @@
         .map(|(id, _)| *id)
 }
 
+/// Returns the target of the region that suits a prompt best and has not been tried: the one that
+/// all instances prefer for the last shared part, or for the prompt if it shares no part.
+pub fn preferred<'a>(
+    view: &'a PlatformView,
+    region: &RegionId,
+    service: &SmolStr,
+    prompt: &[PromptPart],
+    tried: &[TargetId],
+) -> Option<&'a TargetId> {
+    let mut candidates = candidates(view, region, service);
+    candidates.retain(|(id, _)| !tried.contains(id));
+    let part = shared_parts(prompt).last().or(prompt.last())?;
+    first_by_weight(&candidates, part)
+}
+
 /// Returns the number of targets of a service that take new requests, by region.
 pub fn capacity(view: &PlatformView, service: &SmolStr) -> HashMap<RegionId, u32> {
     let mut capacity = HashMap::new();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::follow::{Follower, FollowerDeps};
 use super::instances::{StoreInstanceList, keep_registered};
 use super::listen::{Handler, serve};
+use super::placement::{PlaceHandler, ReportHandler, Reports, send_reports};
 use super::quota::{Quota, follow_organisations};
 use super::settings::{GatewaySettings, ReloadableSettings};
 use super::upstream::TargetConnections;
@@ -176,13 +177,19 @@
         pool: std::sync::Mutex::default(),
         retries: std::sync::Mutex::default(),
         remote_waits: std::sync::Mutex::default(),
+        scheduling: std::sync::Mutex::default(),
+        reports: Reports::default(),
+        typical_prefill: std::sync::Mutex::default(),
         leaving: std::sync::atomic::AtomicBool::new(false),
         in_flight: Arc::default(),
     });
     let mut server = PeerServer::for_relays(Some(Arc::new(RelayedRequests(Arc::clone(&gateway)))))
         .with_handler(membership.handler())
         .with_handler(follower)
-        .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))));
+        .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(PlaceHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))));
+    tokio::spawn(send_reports(Arc::clone(&gateway)));
     if let Some(handler) = limits.handler {
         server = server.with_handler(handler);
     }
@@ -233,6 +240,7 @@
         gateway.upstream.sweep();
         let view = gateway.view();
         gateway.pool().retain(&view);
+        gateway.expire_reservations();
         metrics.run_upkeep();
     }
 }
--- /dev/null
+++ b/src/gateway/scheduler.rs
@@ -0,0 +1,126 @@
+//! Decides which instance assigns requests to a target, and records what it has assigned.
+//!
+//! The queue of a target is one thing, however many instances send to it. In a fleet of hundreds,
+//! an instance sees so few of a target's requests that it cannot tell from these how long the queue
+//! is. So each target belongs to one instance of its region, its scheduler: the other instances ask
+//! the scheduler for a place before they send, and report when the prompt has been read and when
+//! the answer has ended. The scheduler therefore knows the backlog of its targets, and keeps to the
+//! request rate of a cold target by itself.
+//!
+//! About one in [`INSTANCES_PER_SCHEDULER`] instances of a region are schedulers, chosen by
+//! rendezvous hashing; the same hashing assigns the targets to them. When a scheduler is lost, only
+//! its targets change hands. The next scheduler starts without knowledge of what is under way, and
+//! learns it from the load that targets report.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::rendezvous::weight;
+use crate::id::TargetId;
+
+/// Number of instances of a region for each scheduler.
+pub const INSTANCES_PER_SCHEDULER: usize = 8;
+
+/// Time after which a reservation whose holder does not report its end is given up, in addition to
+/// the time that the request has left.
+const RESERVATION_GRACE: Duration = Duration::from_secs(1);
+
+/// Time for which a scheduler sends nothing to a cold target that has just become its own. Until
+/// then, the previous scheduler may have used the target's request rate.
+pub const TAKEOVER_TIME: Duration = Duration::from_secs(2);
+
+/// Returns the schedulers among the live instances of a region, in the order of their rank.
+pub fn schedulers<'a>(region: &str, live: &[&'a str]) -> Vec<&'a str> {
+    let mut order: Vec<(u64, &str)> = Vec::with_capacity(live.len());
+    for id in live {
+        order.push((weight(region.as_bytes(), id.as_bytes()), id));
+    }
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    order.truncate((live.len() / INSTANCES_PER_SCHEDULER).max(1));
+    order.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Returns the scheduler of a target.
+pub fn scheduler_of<'a>(target: &TargetId, schedulers: &[&'a str]) -> Option<&'a str> {
+    let key = target.as_str().as_bytes();
+    let by_weight = schedulers
+        .iter()
+        .map(|id| (weight(key, id.as_bytes()), *id));
+    by_weight.max().map(|(_, id)| id)
+}
+
+/// A place at a target that a request holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// The target.
+    pub target: TargetId,
+    /// Prompt tokens that the target still has to read for the request.
+    pub prefill_tokens: u64,
+    expires_at: Duration,
+}
+
+/// The targets that an instance schedules, and the places that it has assigned.
+#[derive(Debug, Clone, Default)]
+pub struct Scheduler {
+    owned_since: HashMap<TargetId, Duration>,
+    reservations: HashMap<u64, Reservation>,
+    last_id: u64,
+}
+
+impl Scheduler {
+    /// Sets the targets that the instance schedules from now on.
+    pub fn set_owned(&mut self, now: Duration, owned: &[TargetId]) {
+        let mut owned_since = HashMap::with_capacity(owned.len());
+        for target in owned {
+            let since = self.owned_since.get(target).copied().unwrap_or(now);
+            owned_since.insert(target.clone(), since);
+        }
+        self.owned_since = owned_since;
+    }
+
+    /// The targets that the instance schedules, and since when.
+    pub fn owned_since(&self) -> &HashMap<TargetId, Duration> {
+        &self.owned_since
+    }
+
+    /// Records a place at a target for a request with `time_left`; returns the reservation's id.
+    pub fn reserve(
+        &mut self,
+        now: Duration,
+        target: TargetId,
+        prefill_tokens: u64,
+        time_left: Duration,
+    ) -> u64 {
+        self.last_id += 1;
+        let reservation = Reservation {
+            target,
+            prefill_tokens,
+            expires_at: now + time_left + RESERVATION_GRACE,
+        };
+        self.reservations.insert(self.last_id, reservation);
+        self.last_id
+    }
+
+    /// Returns a reservation that has not ended.
+    pub fn reservation(&self, id: u64) -> Option<&Reservation> {
+        self.reservations.get(&id)
+    }
+
+    /// Records that the target has read the prompt; returns the target and the tokens.
+    pub fn finish_prefill(&mut self, id: u64) -> Option<(TargetId, u64)> {
+        let reservation = self.reservations.get_mut(&id)?;
+        let tokens = std::mem::take(&mut reservation.prefill_tokens);
+        Some((reservation.target.clone(), tokens))
+    }
+
+    /// Ends a reservation.
+    pub fn end(&mut self, id: u64) -> Option<Reservation> {
+        self.reservations.remove(&id)
+    }
+
+    /// Ends the reservations whose holders have not reported in time.
+    pub fn expire(&mut self, now: Duration) -> Vec<Reservation> {
+        let expired = self.reservations.extract_if(|_, r| r.expires_at < now);
+        expired.map(|(_, reservation)| reservation).collect()
+    }
+}
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -9,7 +9,9 @@
 
 use super::Gateway;
 use super::callers::InFlightGuard;
-use super::upstream::Connection;
+use super::placement::Place;
+use super::pool::TargetEvent;
+use super::upstream::{Connection, TargetConnections};
 use crate::id::TargetId;
 use crate::peer::{RelaySource, RelayedBody};
 
@@ -53,7 +55,15 @@
 }
 
 /// Counts a request as in flight at a target until the guard is dropped.
-pub(super) struct TargetRequestGuard {
+pub(super) enum TargetRequestGuard {
+    /// The request holds a place that the target's scheduler has reserved.
+    Reserved(Place),
+    /// The request was sent without a place, so only this instance counts it.
+    Counted(CountedRequest),
+}
+
+/// A request that only this instance's pool counts.
+pub(super) struct CountedRequest {
     gateway: Arc<Gateway>,
     id: TargetId,
     prefill_tokens: u64,
@@ -62,24 +72,35 @@
 impl TargetRequestGuard {
     /// Creates the guard of a request for which the pool has counted `prefill_tokens` prompt
     /// tokens.
-    pub(super) fn new(gateway: Arc<Gateway>, id: TargetId, prefill_tokens: u64) -> Self {
-        Self {
+    pub(super) fn counted(gateway: Arc<Gateway>, id: TargetId, prefill_tokens: u64) -> Self {
+        Self::Counted(CountedRequest {
             gateway,
             id,
             prefill_tokens,
-        }
+        })
     }
 
     /// Records that the target has prefilled the prompt.
     pub(super) fn prefill_done(&mut self) {
-        let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
-        self.gateway
-            .pool()
-            .record_prefill_done(&self.id, prefill_tokens);
+        match self {
+            Self::Reserved(place) => place.report(TargetEvent::Prefilled),
+            Self::Counted(counted) => {
+                let prefill_tokens = std::mem::take(&mut counted.prefill_tokens);
+                let mut pool = counted.gateway.pool();
+                pool.record_prefill_done(&counted.id, prefill_tokens);
+            }
+        }
+    }
+
+    /// Reports an event at the target to its scheduler, if the request holds a place.
+    pub(super) fn report(&self, event: TargetEvent) {
+        if let Self::Reserved(place) = self {
+            place.report(event);
+        }
     }
 }
 
-impl Drop for TargetRequestGuard {
+impl Drop for CountedRequest {
     fn drop(&mut self) {
         let mut pool = self.gateway.pool();
         pool.record_prefill_done(&self.id, self.prefill_tokens);
@@ -97,7 +118,9 @@
     /// closes this connection.
     pub keep_alive: Option<Option<Duration>>,
     /// The guard that counts the request as in flight at the target.
-    pub request_guard: TargetRequestGuard,
+    pub _request_guard: TargetRequestGuard,
+    /// The connections to targets, which keep the connection after a complete body.
+    pub connections: TargetConnections,
 }
 
 impl TargetSource {
@@ -118,10 +141,7 @@
                     if let (Some(connection), Some(time)) =
                         (self.connection.take(), self.keep_alive)
                     {
-                        self.request_guard
-                            .gateway
-                            .upstream()
-                            .keep_idle(connection, time);
+                        self.connections.keep_idle(connection, time);
                     }
                     return None;
                 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -367,6 +367,7 @@
         own_id: "i0",
         instances: &["i0"],
         warmup: (1.0, 0.0),
+        owned_since: None,
     }
 }
 
@@ -510,7 +511,7 @@
     let here = "here".into();
     let mut pool = Pool::default();
     let objective = SECOND;
-    let longest = load_shedding::max_wait(objective, 1);
+    let longest = load_shedding::max_wait(objective, 1, Duration::ZERO);
     // Each target prefills 40 tokens per millisecond.
     let mut free_at: HashMap<TargetId, f64> = HashMap::new();
     let (mut admitted, mut worst, mut read_ms) = (0, 0.0_f64, 0.0);
@@ -553,7 +554,10 @@
     let long = load_shedding::retry_after(ms(1_700), longest);
     assert!(short < long);
     assert!(load_shedding::retry_after(SECOND * 60, longest) <= ms(1_600));
-    assert!(load_shedding::max_wait(SECOND, 0) > load_shedding::max_wait(SECOND, 1));
+    assert!(
+        load_shedding::max_wait(SECOND, 0, Duration::ZERO)
+            > load_shedding::max_wait(SECOND, 1, Duration::ZERO)
+    );
     assert_eq!(spread_retry_after(SECOND, 0.0), SECOND);
     assert_eq!(spread_retry_after(SECOND, 1.0), ms(1_500));
 }
