Refuse at once what no region is known to have room for, long prompts first

Change: a refused request goes only to a region that is known to have room, or to one of which nothing is known. Three times the typical prefill is taken off the time that a route may wait. The news of an instance that polls may be as old as its listener's plus the time of a poll.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -107,7 +107,9 @@
             } else {
                 None
             };
-            let stats = self.region_stats(job, placement.as_ref());
+            let mut stats = self.region_stats(job, placement.as_ref());
+            let refused = last_failure.as_ref().is_some_and(is_overloaded);
+            stats.max_wait_ms = refused.then(|| to_millis(job.max_wait));
             let chosen = region::choose(&self.region, &job.regions, &tried, &stats, rand::random());
             let Some(chosen) = chosen else {
                 if tried.is_empty() && self.is_starting() && started.elapsed() < STARTUP_WAIT {
@@ -557,6 +559,11 @@
     !job.prompt.is_empty()
 }
 
+/// Tells whether a request was refused since it would have waited for too long.
+fn is_overloaded(failure: &Failure) -> bool {
+    failure.attempts == 0 && failure.refusal.code() == Code::Overloaded
+}
+
 fn from_millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
 }
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -138,6 +138,7 @@
             capacity: pool::capacity(&view, &job.service),
             wait_ms: self.remote_waits(&job.service),
             own_targets_ejected: false,
+            max_wait_ms: None,
         };
         let fleet = self.fleet();
         stats.capacity.retain(|region, _| {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -245,7 +245,11 @@
     /// Journals a change of whether the instance's news from the store is recent.
     fn check_news(&self, state: &mut State) {
         let age = state.news_age(self.now());
-        let is_recent = age.is_some_and(|age| age <= MAX_NEWS_AGE);
+        let mut max_age = MAX_NEWS_AGE;
+        if !self.plan_tx.borrow().listens {
+            max_age += poll::MAX_ANSWER_TIME;
+        }
+        let is_recent = age.is_some_and(|age| age <= max_age);
         if is_recent == state.has_recent_news {
             return;
         }
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -26,8 +26,8 @@
 /// Longest wait that another instance may request.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(10);
 
-/// Time in addition to [`POLL_WAIT`] within which a listener must answer.
-const POLL_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time until a listener answers a poll.
+pub(super) const MAX_ANSWER_TIME: Duration = Duration::from_millis(2_400);
 
 /// Size above which the value of an entry is not sent to the instances that poll this one; they read
 /// it from the store. A small instance's link would be busy for seconds with sending a large
@@ -145,7 +145,7 @@
             let Ok(request) = self.encode_request(POLL_WAIT, false) else {
                 return;
             };
-            let answer = peers.ask(address, VIEW_KIND, request, POLL_WAIT + POLL_MARGIN);
+            let answer = peers.ask(address, VIEW_KIND, request, MAX_ANSWER_TIME);
             let failure = match answer.await.and_then(|a| decode::<WireResponse>(&a)) {
                 Ok(response) => {
                     let age = response.news_age_ms;
--- a/src/gateway/load_shedding.rs
+++ b/src/gateway/load_shedding.rs
@@ -28,20 +28,24 @@
 /// Longest `Retry-After` of a refused request; callers wait for a third of their time.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_600);
 
+/// How many times the typical prefill is taken off the time to wait: a long prompt delays its own
+/// answer, the requests behind it and the streams that run at the target.
+const PREFILL_FACTOR: u32 = 3;
+
 /// Smallest part of the objective that is left for the wait however long prompts take to read.
 const MIN_WAIT_PART: f64 = 0.3;
 
 /// Returns how long a request may wait before a target starts on it.
 ///
 /// `typical_prefill` is the time that reading a prompt of the request's route takes on average. A
-/// route with long prompts has that much less time to wait, so at a full target its requests are
+/// route with long prompts has [`PREFILL_FACTOR`] times that less time to wait, so at a full target its requests are
 /// refused before short ones, which cost the target little. The average is used rather than the
 /// request's own time, so that the longest prompts of a route are not refused more often than its
 /// others.
 pub fn max_wait(objective: Duration, priority: u8, typical_prefill: Duration) -> Duration {
     let ratio = MAX_WAIT_RATIO - f64::from(priority) * WAIT_RATIO_STEP;
     let time_to_wait = objective
-        .saturating_sub(typical_prefill)
+        .saturating_sub(typical_prefill * PREFILL_FACTOR)
         .max(objective.mul_f64(MIN_WAIT_PART));
     time_to_wait.mul_f64(ratio.max(MIN_WAIT_RATIO))
 }
--- a/src/gateway/region.rs
+++ b/src/gateway/region.rs
@@ -24,6 +24,10 @@
     pub wait_ms: HashMap<RegionId, f64>,
     /// Whether all targets of the own region are ejected after recent failures.
     pub own_targets_ejected: bool,
+    /// Longest wait of the request at a target, in milliseconds, if a region has refused it because
+    /// the wait there is longer. A region that is known to have no room is then not worth the way,
+    /// and neither is a second region that nothing is known of: a refusal from there would be late.
+    pub max_wait_ms: Option<f64>,
 }
 
 /// Chooses an allowed region that has targets and has not been tried.
@@ -52,6 +56,12 @@
         let wait_ms = stats.wait_ms.get(region).copied();
         others.push((region, wait_ms.unwrap_or(0.0), f64::from(*count)));
     }
+    if let Some(max_wait_ms) = stats.max_wait_ms {
+        others.retain(|(region, wait_ms, _)| {
+            let known = stats.wait_ms.contains_key(*region);
+            *wait_ms <= max_wait_ms && (known || tried.len() <= 1)
+        });
+    }
     let own_wait_ms = stats.wait_ms.get(own_region).copied().unwrap_or(0.0);
     if own_available
         && (others.is_empty()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -483,6 +483,25 @@
     );
 }
 
+/// Short requests cost a full target little and must not be refused before the long ones.
+#[test]
+fn at_a_full_target_routes_with_long_prompts_are_refused_first() {
+    let long = load_shedding::max_wait(ms(1_200), 5, ms(211));
+    let short = load_shedding::max_wait(ms(800), 5, ms(20));
+    assert!(long < short, "{long:?} {short:?}");
+    // However long its prompts, a route may wait for a part of its objective.
+    let longest = load_shedding::max_wait(ms(1_000), 5, ms(5_000));
+    assert!(longest > ms(200), "{longest:?}");
+    let mut typical = load_shedding::TypicalPrefill::default();
+    assert_eq!(typical.of(&"r".into()), Duration::ZERO);
+    for _ in 0..200 {
+        typical.record(&"r".into(), ms(100));
+        typical.record(&"r".into(), ms(300));
+    }
+    let average = typical.of(&"r".into());
+    assert!((ms(190)..ms(210)).contains(&average), "{average:?}");
+}
+
 #[test]
 fn evacuated_and_leaving_targets_get_no_requests() {
     let mut view = view(2, Duration::ZERO);
@@ -613,9 +632,34 @@
         capacity: capacity.iter().map(|(r, n)| ((*r).into(), *n)).collect(),
         wait_ms: waits.iter().map(|(r, w)| ((*r).into(), *w)).collect(),
         own_targets_ejected: false,
+        max_wait_ms: None,
     }
 }
 
+/// A region at its peak refuses what no other region has room for; asking there would make the
+/// refusal late and take up the link between the regions.
+#[test]
+fn a_refused_request_does_not_go_to_regions_without_room() {
+    let here: RegionId = "here".into();
+    let all: Vec<RegionId> = vec!["here".into(), "near".into(), "far".into()];
+    let capacity = [("here", 3), ("near", 3), ("far", 3)];
+    let choose = |waits: &[(&str, f64)], tried: &[RegionId]| {
+        let mut stats = regions(&capacity, waits);
+        stats.max_wait_ms = Some(700.0);
+        region::choose(&here, &all, tried, &stats, 0.5)
+    };
+    let refused_here: [RegionId; 1] = ["here".into()];
+    let full = [("near", 800.0), ("far", 2_000.0)];
+    assert_eq!(choose(&full, &refused_here), None);
+    let room = [("near", 800.0), ("far", 500.0)];
+    assert_eq!(choose(&room, &refused_here), Some("far".into()));
+    // One region that nothing is known of is tried, and no second one.
+    assert!(choose(&[("here", 900.0)], &refused_here).is_some());
+    let refused_twice = ["here".into(), "near".into()];
+    assert_eq!(choose(&[("here", 900.0)], &refused_twice), None);
+    assert_eq!(choose(&room, &refused_twice), Some("far".into()));
+}
+
 #[test]
 fn a_request_leaves_its_region_only_if_another_region_is_faster() {
     let here: RegionId = "here".into();
