Charge an organisation's requests at few holders of the limits

Cause: each instance held one part of every rate and burst. Every instance also wrote the ledger when it started and read it every 10 s.

Change: up to four instances of a region, or one in 32, hold parts (limiter few-holders). Every instance has a request charged at the holder that comes first for its organisation, which keeps the hold until it is settled or expires. If the holder does not answer within 350 ms, the next is asked. A holder that is no longer among the first gives up its part.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -150,6 +150,7 @@
         ledger.join(&id, &region);
         ledger.claim(&id, Part::one_of(peers));
         inputs.listed.push((id.instance, region));
+        inputs.holders += 1;
     }
     let bytes = ledger.to_bytes().unwrap_or_default();
     let start = Instant::now();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -40,7 +40,6 @@
 pub mod region;
 pub mod registry;
 mod relay;
-pub mod rendezvous;
 pub mod retry;
 pub mod routes;
 mod run;
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -11,8 +11,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::rendezvous::weight;
 use crate::id::InstanceId;
+use crate::rendezvous::weight;
 
 /// Number of instances in each data centre that listen to the store.
 pub const LISTENERS: usize = 2;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -14,10 +14,10 @@
 use super::dialect::PromptPart;
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
-use super::rendezvous::weight;
 use super::scheduler::TAKEOVER_TIME;
 use super::warmup::{self, RecentSends};
 use crate::id::{RegionId, TargetId};
+use crate::rendezvous::weight;
 
 /// Time that an engine needs to prefill one prompt token, in milliseconds. Engines of the size in
 /// use prefill 40 to 50 tokens per millisecond; the value also leaves time for token generation,
--- a/src/gateway/scheduler.rs
+++ b/src/gateway/scheduler.rs
@@ -15,8 +15,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::rendezvous::weight;
 use crate::id::TargetId;
+use crate::rendezvous::weight;
 
 /// Number of instances of a region for each scheduler.
 pub const INSTANCES_PER_SCHEDULER: usize = 8;
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::rendezvous::rank;
+use crate::rendezvous::rank;
 
 /// Window in which requests are counted; longer than the second of the bound, since requests may
 /// be delayed on their way to the target.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod place;
 pub mod platform;
 pub mod refusal;
+pub mod rendezvous;
 pub mod report;
 pub mod request_body;
 pub mod route;
--- a/src/limit/ledger_client.rs
+++ b/src/limit/ledger_client.rs
@@ -58,6 +58,8 @@
 pub struct ProposalInputs {
     /// Instances on the platform's list that are not leaving, with their regions.
     pub listed: Vec<(InstanceId, RegionId)>,
+    /// Number of listed instances that hold parts.
+    pub holders: usize,
     /// The minimum floor that covers the lent loans and held tokens of every organisation.
     pub required_floor: Part,
     /// Whether a new ledger may be created if the store has none and no copy of a lost ledger is
@@ -332,7 +334,7 @@
     }
 
     fn rebalance(&self, ledger: &mut Ledger, inputs: &ProposalInputs) {
-        let equal_part = Part::one_of(ledger.active().max(inputs.listed.len()));
+        let equal_part = Part::one_of(ledger.active().max(inputs.holders));
         let own_part = ledger.part(&self.holder_id);
         let min_move = equal_part.mul_div_floor(1, 8);
         if own_part.saturating_add(min_move) <= equal_part && ledger.free() >= min_move {
--- a/src/limit/maintenance.rs
+++ b/src/limit/maintenance.rs
@@ -17,6 +17,7 @@
 use super::message::{Answer, Message};
 use super::shares::Shares;
 use crate::id::{InstanceId, OrganisationId};
+use crate::journal;
 use crate::peer::PeerError;
 use crate::store::{Entry, StoreError, SwapResult};
 
@@ -46,6 +47,9 @@
 /// Time after the process start during which membership may not know all live instances yet.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
+/// Time without a change of the number of listed instances after which the list counts as complete.
+const LIST_SETTLE_TIME: Duration = Duration::from_millis(600);
+
 /// Starts the maintenance actor, which stops when `shares` is dropped.
 pub(super) fn start(shares: &Arc<Shares>) {
     let maintenance = Maintenance::spawn(Maintenance {
@@ -54,6 +58,8 @@
         next_read: Duration::ZERO,
         missing_since: None,
         inherited_unused_since: Duration::ZERO,
+        listed: 0,
+        listed_since: Duration::ZERO,
     });
     tokio::spawn(tick(maintenance));
 }
@@ -68,9 +74,14 @@
     }
 }
 
-/// Returns all borrowed loans and gives up this instance's part in the ledger.
+/// Leaves the ledger for good.
 pub(super) async fn leave(shares: &Arc<Shares>) {
     shares.has_left.store(true, Ordering::Relaxed);
+    give_up_part(shares).await;
+}
+
+/// Returns all borrowed loans and gives up this instance's part in the ledger.
+async fn give_up_part(shares: &Arc<Shares>) {
     let mut returns = BTreeMap::new();
     for (organisation, shared_account) in shares.all_accounts() {
         for (lender, returned) in shared_account.lock().return_all(shares.now()) {
@@ -100,6 +111,9 @@
     missing_since: Option<Duration>,
     /// Time since which no instance has used the part of this instance's earlier incarnations.
     inherited_unused_since: Duration,
+    /// Number of listed instances, and since when it has not changed.
+    listed: usize,
+    listed_since: Duration,
 }
 
 impl ActorMessage<Tick> for Maintenance {
@@ -114,6 +128,10 @@
             return false;
         }
         shares.sync_limits();
+        shares.delegation.expire(shares.now());
+        if shares.mode.few_holders && !self.holds_part(&shares).await {
+            return true;
+        }
         if shares.now() >= self.next_read {
             let is_settled = self.sync_ledger(&shares).await;
             let interval = if is_settled {
@@ -145,6 +163,32 @@
 }
 
 impl Maintenance {
+    /// Decides whether this instance holds parts of the limits; if it no longer does, it gives up
+    /// its part in the ledger.
+    ///
+    /// An instance that has just started waits until the list of instances is complete, so that a
+    /// start of the whole fleet does not make each instance a holder for a moment.
+    async fn holds_part(&mut self, shares: &Arc<Shares>) -> bool {
+        let listed = shares.deps.fleet.borrow().members.len();
+        if listed != std::mem::replace(&mut self.listed, listed) {
+            self.listed_since = shares.now();
+        }
+        let is_holder = shares.holder_ids().contains(&shares.deps.id);
+        let was_holder = shares.is_holder.load(Ordering::Relaxed);
+        if is_holder == was_holder {
+            return is_holder;
+        }
+        if shares.now() < self.listed_since + LIST_SETTLE_TIME {
+            return was_holder;
+        }
+        shares.is_holder.store(is_holder, Ordering::Relaxed);
+        journal::line("limit_holder").value("holds", is_holder);
+        if !is_holder {
+            give_up_part(shares).await;
+        }
+        is_holder
+    }
+
     /// Notifies the other holders that this instance's earlier incarnations have ended.
     ///
     /// Returns the time since which no instance has used the part of the earlier incarnations, or
@@ -315,8 +359,14 @@
     for member in &shares.deps.fleet.borrow().members {
         listed.push((member.id.clone(), member.region.clone()));
     }
+    let holders = if shares.mode.few_holders {
+        shares.holder_ids().len()
+    } else {
+        listed.len()
+    };
     ProposalInputs {
         listed,
+        holders,
         required_floor: shares.required_floor(),
         may_create,
     }
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -10,6 +10,7 @@
 use super::loan::{Loan, LoanId, LoanRequest, MAX_TERM, Return};
 use crate::id::{InstanceId, OrganisationId};
 use crate::peer::{PeerError, decode, encode};
+use crate::refusal::Refusal;
 
 /// Message kind under which peers route these messages.
 pub const KIND: &str = "limit";
@@ -28,6 +29,17 @@
     /// Announces that the earlier incarnations of this instance have ended, and their loans with
     /// them.
     Ended(InstanceId),
+    /// Requests to charge a request of an instance that holds no part.
+    Charge {
+        /// The organisation to charge.
+        organisation: OrganisationId,
+        /// The tokens to charge.
+        tokens: u64,
+        /// The time until the request's deadline.
+        time_left: Duration,
+    },
+    /// Settles charges: the id of each hold, and the tokens used.
+    Settle(Vec<(u64, u64)>),
 }
 
 /// The answer of the receiving limiter to a [`Message`].
@@ -47,6 +59,10 @@
     },
     /// The ledger as last read, with its revision.
     Copy(Option<(i64, Ledger)>),
+    /// The request has been charged; the id of its hold.
+    Charged(u64),
+    /// The request has not been charged.
+    Refused(Refusal),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -56,6 +72,8 @@
     Return(Vec<(OrganisationId, WireReturn)>),
     Copy,
     Ended(InstanceId),
+    Charge(OrganisationId, u64, u64),
+    Settle(Vec<(u64, u64)>),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -65,6 +83,8 @@
     Noted,
     Copy(Option<(i64, Vec<u8>)>),
     Ended { had_loans: bool },
+    Charged(u64),
+    Refused(Refusal),
 }
 
 type WireId = (u64, u64);
@@ -149,6 +169,15 @@
             }
             Message::Copy => Self::Copy,
             Message::Ended(instance) => Self::Ended(instance.clone()),
+            Message::Charge {
+                organisation,
+                tokens,
+                time_left,
+            } => {
+                let time_left_us = u64::try_from(time_left.as_micros()).unwrap_or(u64::MAX);
+                Self::Charge(organisation.clone(), *tokens, time_left_us)
+            }
+            Message::Settle(settlements) => Self::Settle(settlements.clone()),
         }
     }
 }
@@ -171,6 +200,12 @@
             }
             WireMessage::Copy => Self::Copy,
             WireMessage::Ended(instance) => Self::Ended(instance),
+            WireMessage::Charge(organisation, tokens, time_left_us) => Self::Charge {
+                organisation,
+                tokens,
+                time_left: Duration::from_micros(time_left_us).min(MAX_TERM),
+            },
+            WireMessage::Settle(settlements) => Self::Settle(settlements),
         })
     }
 }
@@ -189,6 +224,8 @@
             Answer::Ended { had_loans } => Self::Ended {
                 had_loans: *had_loans,
             },
+            Answer::Charged(id) => Self::Charged(*id),
+            Answer::Refused(refusal) => Self::Refused(refusal.clone()),
             Answer::Copy(None) => Self::Copy(None),
             Answer::Copy(Some((revision, ledger))) => {
                 let bytes = ledger.to_bytes().map_err(malformed)?;
@@ -213,6 +250,8 @@
             WireAnswer::Prolonged(loans) => Self::Prolonged(ids(loans)),
             WireAnswer::Noted => Self::Noted,
             WireAnswer::Ended { had_loans } => Self::Ended { had_loans },
+            WireAnswer::Charged(id) => Self::Charged(id),
+            WireAnswer::Refused(refusal) => Self::Refused(refusal),
             WireAnswer::Copy(None) => Self::Copy(None),
             WireAnswer::Copy(Some((revision, bytes))) => {
                 let ledger = Ledger::from_bytes(&bytes).map_err(malformed)?;
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -3,7 +3,7 @@
 //!
 //! A request locks only its organisation's account, and makes no call to the store.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -19,6 +19,8 @@
 use super::account::{Account, ChargeError, RateLimit};
 use super::amount::{Amount, Part};
 use super::baseline::{larger_than_burst, rate_and_burst, rate_exceeded};
+use super::delegate::{self, Delegation};
+use super::holders;
 use super::ledger::HolderId;
 use super::ledger_client::LedgerClient;
 use super::loan::{LoanId, LoanRequest, MAX_TERM, Return};
@@ -26,7 +28,7 @@
 use super::message::{Answer, KIND, Message};
 use super::shared_account::{PeerGroup, SharedAccount};
 use super::{Hold, Limiter, LimiterDeps, LimiterPlugin, Settle, Started};
-use crate::id::{InstanceId, OrganisationId};
+use crate::id::{InstanceId, OrganisationId, RegionId};
 use crate::member::Health;
 use crate::peer::{PeerError, PeerHandler};
 use crate::refusal::Refusal;
@@ -53,22 +55,42 @@
 const MAX_PEERS_PER_ROUND: usize = 8;
 
 inventory::submit! {
-    LimiterPlugin { name: "shares", start: |deps| start(deps, false) }
+    LimiterPlugin { name: "shares", start: |deps| start(deps, Mode::default()) }
 }
 
 // For deployments in which a restarted instance keeps its name.
 inventory::submit! {
-    LimiterPlugin { name: "inherited-shares", start: |deps| start(deps, true) }
+    LimiterPlugin {
+        name: "inherited-shares",
+        start: |deps| start(deps, Mode { inherits: true, few_holders: false }),
+    }
+}
+
+// For deployments of many instances in which a restarted instance keeps its name.
+inventory::submit! {
+    LimiterPlugin {
+        name: "few-holders",
+        start: |deps| start(deps, Mode { inherits: true, few_holders: true }),
+    }
 }
 
-fn start(deps: LimiterDeps, inherits: bool) -> Started {
+/// How the parts of the limits are held.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Mode {
+    /// Whether a restarted instance takes over the part of its earlier incarnations.
+    inherits: bool,
+    /// Whether only few instances of each region hold parts.
+    pub(super) few_holders: bool,
+}
+
+fn start(deps: LimiterDeps, mode: Mode) -> Started {
     let holder_id = HolderId {
         instance: deps.id.clone(),
         incarnation: rand::random(),
     };
     let borrower = holder_id.incarnation;
     let mut ledger_client = LedgerClient::of(holder_id, deps.region.clone());
-    if inherits {
+    if mode.inherits {
         ledger_client = ledger_client.inheriting();
     }
     let shares = Arc::new(Shares {
@@ -77,9 +99,15 @@
         serial: AtomicU64::new(0),
         has_left: AtomicBool::new(false),
         account_table: RwLock::default(),
+        delegation: Delegation::default(),
+        is_holder: AtomicBool::new(!mode.few_holders),
+        mode,
         deps,
     });
     maintenance::start(&shares);
+    if mode.few_holders {
+        tokio::spawn(delegate::send_settlements(Arc::downgrade(&shares)));
+    }
     Started {
         limiter: Arc::new(SharesLimiter(Arc::clone(&shares))),
         handler: Some(Arc::new(SharesHandler(shares))),
@@ -104,6 +132,10 @@
     serial: AtomicU64,
     /// Set when the instance leaves the ledger for good.
     pub(super) has_left: AtomicBool,
+    pub(super) mode: Mode,
+    /// Whether this instance holds parts.
+    pub(super) is_holder: AtomicBool,
+    pub(super) delegation: Delegation,
 }
 
 impl Shares {
@@ -187,11 +219,33 @@
             }
             peers.push((member.id.clone(), member.peer));
         }
+        if self.mode.few_holders {
+            let holders = self.holder_ids();
+            peers.retain(|(id, _)| holders.contains(id));
+        }
         peers.shuffle(&mut rand::rng());
         peers.truncate(MAX_PEERS_PER_ROUND);
         peers
     }
 
+    /// Returns the instances of the fleet that hold parts.
+    pub(super) fn holder_ids(&self) -> BTreeSet<InstanceId> {
+        let fleet = self.deps.fleet.borrow();
+        let mut by_region: BTreeMap<&RegionId, Vec<&str>> = BTreeMap::new();
+        for member in &fleet.members {
+            if member.health != Health::Leaving {
+                let ids = by_region.entry(&member.region).or_default();
+                ids.push(member.id.as_str());
+            }
+        }
+        let mut all = BTreeSet::new();
+        for (region, ids) in by_region {
+            let holders = holders::holders(region.as_str(), &ids);
+            all.extend(holders.into_iter().map(InstanceId::from));
+        }
+        all
+    }
+
     fn charge(
         &self,
         shared_account: &SharedAccount,
@@ -413,7 +467,7 @@
     }
 }
 
-struct SharesLimiter(Arc<Shares>);
+pub(super) struct SharesLimiter(pub(super) Arc<Shares>);
 
 #[async_trait]
 impl Limiter for SharesLimiter {
@@ -422,6 +476,26 @@
         organisation: &OrganisationId,
         tokens: u64,
         time_left: Duration,
+    ) -> Result<Hold, Refusal> {
+        if self.0.mode.few_holders {
+            rate_and_burst(&self.0.deps, organisation)?;
+            return delegate::admit(self, organisation, tokens, time_left).await;
+        }
+        self.admit_here(organisation, tokens, time_left).await
+    }
+
+    async fn leave(&self) {
+        maintenance::leave(&self.0).await;
+    }
+}
+
+impl SharesLimiter {
+    /// Charges a request to this instance's account.
+    pub(super) async fn admit_here(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        time_left: Duration,
     ) -> Result<Hold, Refusal> {
         let shares = &self.0;
         let (rate, burst) = rate_and_burst(&shares.deps, organisation)?;
@@ -458,10 +532,6 @@
         let wait = shares.retry_after(&shared_account, &charge);
         Err(count_refusal(organisation, rate_exceeded(wait)))
     }
-
-    async fn leave(&self) {
-        maintenance::leave(&self.0).await;
-    }
 }
 
 impl Settle for Shares {
@@ -493,6 +563,15 @@
                 }
                 Answer::Ended { had_loans }
             }
+            Message::Charge {
+                organisation,
+                tokens,
+                time_left,
+            } => self.charge_for_peer(&organisation, tokens, time_left).await,
+            Message::Settle(settlements) => {
+                self.0.delegation.settle(&settlements);
+                Answer::Noted
+            }
             Message::Copy => {
                 let ledger_client = self.0.ledger_client();
                 Answer::Copy(
@@ -507,6 +586,19 @@
 }
 
 impl SharesHandler {
+    async fn charge_for_peer(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        time_left: Duration,
+    ) -> Answer {
+        let limiter = SharesLimiter(Arc::clone(&self.0));
+        match limiter.admit_here(organisation, tokens, time_left).await {
+            Ok(hold) => Answer::Charged(self.0.delegation.keep(self.0.now(), hold, time_left)),
+            Err(refusal) => Answer::Refused(refusal),
+        }
+    }
+
     fn lend(&self, organisation: &OrganisationId, loan_request: &LoanRequest) -> Answer {
         let Some(limit) = self.0.rate_limit(organisation) else {
             return Answer::Loan(None, Vec::new());
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -110,6 +110,7 @@
         let listed = (0..INSTANCES).map(|i| (InstanceId::from(self.name(i)), region(i)));
         ProposalInputs {
             listed: listed.collect(),
+            holders: INSTANCES,
             required_floor: Part::one_of(INSTANCES * 2).mul_div_floor(lent.into(), 2),
             may_create: true,
         }
