--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -51,7 +51,7 @@
 pub mod warmup;
 
 pub use self::callers::{combined_priority, refusal_status, spread_retry_after};
-pub use self::directory::directory_entries;
+pub use self::directory::{directory_entries, directory_ttl};
 pub use self::follow::{Follower, FollowerDeps};
 pub use self::run::run;
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use http::header::CONTENT_TYPE;
@@ -18,6 +19,9 @@
 /// Maximum number of addresses in one response.
 const MAX_ENTRIES: usize = 64;
 
+/// How long a client may use instances of other regions that stand in for those of its own.
+const STAND_IN_TTL: Duration = Duration::from_millis(500);
+
 /// If a data centre has fewer instances than this, instances of its region are added, so that a
 /// client has an alternative when one fails.
 const MIN_ENTRIES: usize = 2;
@@ -56,6 +60,23 @@
     entries
 }
 
+/// Returns how long a client may use a response of the directory.
+///
+/// Instances of other regions stand in while the client's region has none, for example in a rolling
+/// restart; the client soon asks again, so that it returns as soon as its region has one.
+pub fn directory_ttl(
+    fleet: &Fleet,
+    query: &DirectoryQuery,
+    entries: &[SocketAddr],
+    ttl: Duration,
+) -> Duration {
+    let is_local = |m: &Member| m.region.as_str() == query.region && entries.contains(&m.front);
+    if fleet.members.iter().any(is_local) {
+        return ttl;
+    }
+    ttl.min(STAND_IN_TTL)
+}
+
 /// Handles the platform's readiness probe and clients' directory queries.
 pub(super) struct PlatformHandler(pub Arc<Gateway>);
 
@@ -88,6 +109,7 @@
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let ttl = gateway.reloadable_settings().directory_ttl;
+        let ttl = directory_ttl(&gateway.fleet(), &query, &entries, ttl);
         let mut response = Response::new(full_body(
             gateway.dialect.write_directory_response(&entries, ttl),
         ));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Maintains the instance's view of the platform from the platform's keys in the store.
 //!
-//! Few instances of each data centre watch the keys ([`listen`]); the others get the changes from
+//! Few instances of each region watch the keys ([`listen`]); the others get the changes from
 //! them ([`poll`]). [`super::listeners`] decides which. An instance without recent news also asks
 //! random instances of the fleet, so one instance that can reach the store can update all others.
 
@@ -84,8 +84,8 @@
 pub struct FollowerDeps {
     /// The identifier of this instance.
     pub id: InstanceId,
-    /// The data centre of this instance.
-    pub data_centre: SmolStr,
+    /// The region of this instance.
+    pub region: RegionId,
     /// The monotonic clock of this instance.
     pub clock: Clock,
     /// The platform's store.
@@ -186,18 +186,16 @@
     fn update_plan(&self, fleet: &Fleet) {
         let mut live = Vec::new();
         for member in &fleet.members {
-            if member.data_centre == self.deps.data_centre && member.health == Health::Live {
+            if member.region == self.deps.region && member.health == Health::Live {
                 live.push(member.id.clone());
             }
         }
         let plan = {
             let state = self.state();
             let hears_store = !state.followed.iter().any(|f| f.failing);
-            let (id, data_centre) = (&self.deps.id, &self.deps.data_centre);
+            let (id, region) = (&self.deps.id, self.deps.region.as_str());
             let now = self.now();
-            state
-                .listeners
-                .plan(now, data_centre, id, &live, hears_store)
+            state.listeners.plan(now, region, id, &live, hears_store)
         };
         self.plan_tx.send_if_modified(|current| {
             let changed = *current != plan;
--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -11,7 +11,7 @@
 
 /// Shortest time between the starts of two watch calls. Changes that come in quick succession
 /// arrive together.
-const MIN_WATCH_PERIOD: Duration = Duration::from_millis(200);
+const MIN_WATCH_PERIOD: Duration = Duration::from_millis(300);
 
 /// Pause after a failed store call, multiplied by a random factor from 0.5 to 1.5; doubled with
 /// each further failure.
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -116,7 +116,7 @@
         tokio::spawn(Arc::clone(self).query_random(fleet.clone(), Arc::clone(peers)));
     }
 
-    /// Polls the `n`th listener of the data centre, unless this instance is one.
+    /// Polls the `n`th listener of the region, unless this instance is one.
     async fn poll_listener(
         self: Arc<Self>,
         n: usize,
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -20,11 +20,13 @@
 /// Key prefix of the instances' entries.
 pub const INSTANCES_PREFIX: &str = "limpetstand/instances/";
 
-/// How long the entry of an instance that no longer renews its lease stays in the store.
-const LEASE_TTL: Duration = Duration::from_secs(4);
+/// How long the entry of an instance that no longer renews its lease stays in the store. Heartbeats
+/// find out earlier that an instance is dead, except for the instances of a region that is lost as a
+/// whole.
+const LEASE_TTL: Duration = Duration::from_secs(6);
 
 /// How often the lease is renewed: three times within [`LEASE_TTL`].
-const RENEW_PERIOD: Duration = Duration::from_millis(1_300);
+const RENEW_PERIOD: Duration = Duration::from_secs(2);
 
 /// Pause after a failed store call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -1,7 +1,7 @@
-//! Decides which instances of a data centre listen to the store and which of them tell the others.
+//! Decides which instances of a region listen to the store and which of them tell the others.
 //!
 //! Every call to the store is priced and their rate is limited, so the number of calls must not
-//! grow with the number of instances. In each data centre, [`LISTENERS`] instances, chosen by
+//! grow with the number of instances. In each region, [`LISTENERS`] instances, chosen by
 //! rendezvous hashing, watch the store; every other instance polls all of them, so the loss of one
 //! delays no change. A listener that does not answer, or whose own news is too old, is passed over
 //! for a while, and the next in the order takes its place. An instance that passes over enough of
@@ -14,7 +14,7 @@
 use crate::id::InstanceId;
 use crate::rendezvous::weight;
 
-/// Number of instances in each data centre that listen to the store.
+/// Number of instances in each region that listen to the store.
 pub const LISTENERS: usize = 2;
 
 /// How long a listener is passed over after its first failure; doubled with each further one.
@@ -46,7 +46,7 @@
     pub sources: Vec<InstanceId>,
 }
 
-/// An instance's experience with the listeners of its data centre.
+/// An instance's experience with the listeners of its region.
 #[derive(Debug, Clone, Default)]
 pub struct Listeners {
     avoided: HashMap<InstanceId, Avoided>,
@@ -56,13 +56,13 @@
 impl Listeners {
     /// Decides whether the instance `own` listens and which instances it polls.
     ///
-    /// `live` are the live instances of the data centre, `own` among them unless it is leaving.
+    /// `live` are the live instances of the region, `own` among them unless it is leaving.
     /// `hears_store` tells whether the instance's own calls to the store succeed; while they fail,
     /// it polls others as well.
     pub fn plan(
         &self,
         now: Duration,
-        data_centre: &str,
+        region: &str,
         own: &InstanceId,
         live: &[InstanceId],
         hears_store: bool,
@@ -72,7 +72,7 @@
             if id != own && self.avoids(now, id) {
                 continue;
             }
-            order.push((weight(data_centre.as_bytes(), id.as_str().as_bytes()), id));
+            order.push((weight(region.as_bytes(), id.as_str().as_bytes()), id));
         }
         order.sort_unstable_by(|a, b| b.cmp(a));
         let first = order.iter().take(LISTENERS);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -541,7 +541,7 @@
         service: job.service.clone(),
         prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
         tried: tried.to_vec(),
-        max_wait_ms: (job.attempts == 0).then(|| job.max_wait.as_secs_f64() * 1_000.0),
+        max_wait_ms: (job.attempts == 0).then_some(job.max_wait.as_secs_f64() * 1_000.0),
         time_left_ms: u64::try_from(job.time_left().as_millis()).unwrap_or(u64::MAX),
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -124,7 +124,7 @@
     let own = own_member(&services);
     let follower = Follower::new(FollowerDeps {
         id: own.id.clone(),
-        data_centre: own.data_centre.clone(),
+        region: own.region.clone(),
         clock: services.clock,
         store: Arc::clone(&services.store),
         layout: (plugin.layout)(),
--- a/src/limit/delegate.rs
+++ b/src/limit/delegate.rs
@@ -165,7 +165,9 @@
                 };
                 return Ok(Hold::new(organisation.clone(), tokens, Arc::new(settle)));
             }
-            Ok(Ok(Answer::Refused(refusal))) => return Err(refusal),
+            Ok(Ok(Answer::Refused(refusal))) => {
+                return Err(holders::refusal_for_caller(refusal));
+            }
             outcome => {
                 let why = match outcome {
                     Ok(Err(e)) => e.to_string(),
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -478,7 +478,13 @@
         time_left: Duration,
     ) -> Result<Hold, Refusal> {
         if self.0.mode.few_holders {
-            rate_and_burst(&self.0.deps, organisation)?;
+            let (_, burst) = rate_and_burst(&self.0.deps, organisation)?;
+            if tokens > burst {
+                return Err(count_refusal(
+                    organisation,
+                    larger_than_burst(tokens, burst),
+                ));
+            }
             return delegate::admit(self, organisation, tokens, time_left).await;
         }
         self.admit_here(organisation, tokens, time_left).await
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -20,8 +20,8 @@
 use limpetstand::gateway::tolerance::{Tolerance, ToleranceUse};
 use limpetstand::gateway::warmup::{self, RecentSends};
 use limpetstand::gateway::{
-    attempt_timeout, combined_priority, directory_entries, load_shedding, refusal_status,
-    spread_retry_after,
+    attempt_timeout, combined_priority, directory_entries, directory_ttl, load_shedding,
+    refusal_status, spread_retry_after,
 };
 use limpetstand::id::{OrganisationId, RegionId, TargetId};
 use limpetstand::limit::{Hold, Limiter};
@@ -736,6 +736,13 @@
         [front(4)]
     );
     assert_eq!(directory_entries(&fleet, &asked("d", "west"), &[]).len(), 4);
+    // Instances of another region stand in for a short time only.
+    let ttl = |query: &DirectoryQuery| {
+        let entries = directory_entries(&fleet, query, &[]);
+        directory_ttl(&fleet, query, &entries, SECOND * 2)
+    };
+    assert_eq!(ttl(&asked("a", "north")), SECOND * 2);
+    assert!(ttl(&asked("d", "west")) < SECOND);
     // Clients of a region without live instances get instances of the host's home regions.
     let home_regions = ["south".into(), "west".into()];
     assert_eq!(
--- a/tests/holders.rs
+++ b/tests/holders.rs
@@ -8,7 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use limpetstand::limit::holders::{MIN_HOLDERS, holders, in_order_for};
+use limpetstand::limit::holders::{MIN_HOLDERS, holders, in_order_for, refusal_for_caller};
+use limpetstand::refusal::{Code, Ran, Refusal};
 use live::LimiterFleet;
 use tokio::time::{Instant, sleep};
 
@@ -67,6 +68,20 @@
     assert!(first.len() > many.len() / 2);
 }
 
+#[test]
+fn a_holder_with_another_configuration_does_not_make_a_key_bad() {
+    let unknown = Refusal::not_run(Code::BadKey, "unknown organisation `o`");
+    let larger = Refusal::not_run(Code::LargerThanBurst, "more than the burst");
+    for refusal in [unknown, larger] {
+        let told = refusal_for_caller(refusal);
+        assert_eq!((told.code(), told.ran()), (Code::RateExceeded, Ran::No));
+        assert!(told.retry_after_ms().is_some());
+    }
+    let exceeded =
+        Refusal::not_run(Code::RateExceeded, "used up").retry_after(Duration::from_secs(2));
+    assert_eq!(refusal_for_caller(exceeded).retry_after_ms(), Some(2_000));
+}
+
 /// Sends nine tenths of the rate in large requests at all instances: nobody is refused, and starting
 /// the fleet costs the store as much as its holders.
 async fn check_within_the_rate(per_region: u16) {
--- a/tests/news.rs
+++ b/tests/news.rs
@@ -173,7 +173,7 @@
 }
 
 #[test]
-fn two_instances_of_a_data_centre_listen_and_the_others_poll_both() {
+fn two_instances_of_a_region_listen_and_the_others_poll_both() {
     let live = names(50);
     let mut listeners = BTreeSet::new();
     let mut polled = BTreeSet::new();
@@ -489,7 +489,7 @@
             });
             let follower = Follower::new(FollowerDeps {
                 id: member.id.clone(),
-                data_centre: member.data_centre.clone(),
+                region: member.region.clone(),
                 clock: Clock::start(),
                 store: Arc::clone(&connection) as Arc<dyn Store>,
                 layout: Arc::new(TestLayout),
@@ -538,7 +538,8 @@
         let local: Vec<&TestInstance> = self.instances.iter().filter(in_data_centre).collect();
         let live: Vec<InstanceId> = local.iter().map(|i| i.id.clone()).collect();
         let listens = |i: &&TestInstance| {
-            let plan = Listeners::default().plan(ms(0), data_centre, &i.id, &live, true);
+            let region = data_centre.replace('a', "r");
+            let plan = Listeners::default().plan(ms(0), &region, &i.id, &live, true);
             plan.listens
         };
         local.into_iter().filter(listens).collect()
@@ -558,10 +559,10 @@
 /// that the platform states.
 const DRAIN_BOUND: Duration = Duration::from_millis(4_000);
 
-/// Fleets of 9 to 1,000 instances: the store is asked as often as there are data centres, and the
+/// Fleets of 9 to 1,000 instances: the store is asked as often as there are regions, and the
 /// news is as fresh, however many instances there are.
 #[tokio::test(start_paused = true)]
-async fn store_calls_grow_with_data_centres_and_not_with_instances() {
+async fn store_calls_grow_with_regions_and_not_with_instances() {
     for (count, data_centres) in [(9, 3), (30, 6), (100, 6), (300, 6), (1_000, 6)] {
         let fleet = TestFleet::start(count, data_centres).await;
         let listeners = (data_centres * LISTENERS) as u64;
@@ -579,9 +580,9 @@
             sleep(ms(100)).await;
         }
         let changing = fleet.calls() - before;
-        // At most five calls a second for the prefix that changes.
+        // At most four calls a second for the prefix that changes.
         assert!(
-            changing <= listeners * (50 + 2 * 5),
+            changing <= listeners * (40 + 2 * 5),
             "{count}: {changing} calls while the registry changes"
         );
         let age = fleet.time_to_all("t3", &fleet.all()).await;
