Retry the first load from the store without a growing pause

Cause: the pause after failed store calls now doubles up to 1 s, so a starting instance could miss the store's return for longer than its first requests wait. hosted a_starting_instance_serves_as_soon_as_it_has_a_configuration failed once in one run of the whole file for it.

Change: the pause grows only once the entries have been loaded.

--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -14,7 +14,7 @@
 const MIN_WATCH_PERIOD: Duration = Duration::from_millis(300);
 
 /// Pause after a failed store call, multiplied by a random factor from 0.5 to 1.5; doubled with
-/// each further failure.
+/// each further failure, except in a starting instance, whose first requests wait for the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// Longest pause after a failed store call.
@@ -61,7 +61,9 @@
                 Err(e) => {
                     self.record_failure(index, &e);
                     let pause = (RETRY_PAUSE * 2_u32.pow(failures)).min(MAX_RETRY_PAUSE);
-                    failures = (failures + 1).min(4);
+                    if loaded {
+                        failures = (failures + 1).min(4);
+                    }
                     sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
                 }
             }
