Let the wait at a full target grow with its queue

Cause: a target whose slots are all in use cost 150 ms however many requests waited for a slot there, so with 24 slots a queue of ten looked as short as one of one.

Change: 150 ms for each request that is ahead of a slot. The new test fails without it.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -27,7 +27,7 @@
 /// Delay that each request queued at a target adds to the next request, in milliseconds.
 const QUEUE_DELAY_MS: f64 = 30.0;
 
-/// Least delay of a request at a target whose slots are all in use, in milliseconds.
+/// Delay until the next slot of a target whose slots are all in use becomes free, in milliseconds.
 const FULL_DELAY_MS: f64 = 150.0;
 
 /// Cost added to a target that fails every request, in milliseconds; scaled by the failure rate.
@@ -411,7 +411,8 @@
             _ => (0, 0),
         };
         let busy = running.max(self.in_flight);
-        let full_ms = if busy >= slots { FULL_DELAY_MS } else { 0.0 };
+        let ahead_of_a_slot = (busy + 1).saturating_sub(slots);
+        let full_ms = f64::from(ahead_of_a_slot) * FULL_DELAY_MS;
         let backlog_ms = prefill_ms(self.pending_prefill_tokens).max(self.backlog_ms_at(now));
         let slot_utilisation = f64::from(busy) / f64::from(slots.max(1));
         full_ms
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -502,6 +502,27 @@
     assert!((ms(190)..ms(210)).contains(&average), "{average:?}");
 }
 
+/// A target whose slots are all in use serves one queued request after the other, so the wait there
+/// grows with the queue, and another target is chosen before the queue is long.
+#[test]
+fn the_wait_at_a_full_target_grows_with_its_queue() {
+    let view = view(1, Duration::ZERO);
+    let here = "here".into();
+    let slots = view.targets[&"t0".into()].entry.slots;
+    let mut pool = Pool::default();
+    let mut waits = Vec::new();
+    for _ in 0..slots * 2 {
+        let choice = pool.choose(SECOND, &view, &here, &query(&[], &[]), || 0.5);
+        let choice = choice.expect("a target");
+        pool.record_send(SECOND, &choice, &[], 1);
+        waits.push(choice.wait_ms);
+    }
+    let slots = slots as usize;
+    assert!(waits[slots - 1] < 100.0, "{waits:?}");
+    assert!(waits[slots] > 100.0, "{waits:?}");
+    assert!(waits[slots + 3] > waits[slots] * 3.0, "{waits:?}");
+}
+
 #[test]
 fn evacuated_and_leaving_targets_get_no_requests() {
     let mut view = view(2, Duration::ZERO);
