--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 mod answer_body;
+pub mod answer_progress;
 pub mod attempt_timeout;
 mod attempts;
 mod callers;
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::Gateway;
+use super::answer_progress::{AnswerProgress, Framing};
 use super::attempt_timeout;
 use super::job::{Job, Reply};
 use super::source::Source;
@@ -27,6 +28,7 @@
     source: Source,
     /// Splits a resumable stream into events; `None` if bytes are forwarded as received.
     events: Option<EventReader>,
+    progress: AnswerProgress,
     end_record: EndRecord,
     done: bool,
 }
@@ -45,6 +47,8 @@
     began: Instant,
     status: u16,
     outcome: &'static str,
+    /// Whether the bytes sent to the caller end inside an event of an event stream.
+    inside_event: bool,
 }
 
 impl Drop for EndRecord {
@@ -55,6 +59,7 @@
             .text("request", &self.request)
             .text("outcome", self.outcome)
             .value("status", self.status)
+            .value("inside_event", self.inside_event)
             .ms("took_ms", self.began.elapsed());
     }
 }
@@ -67,24 +72,34 @@
     began: Instant,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BodyError>> + Send {
     let resumable = job.kind == super::routes::RouteKind::ResumableStream;
-    let reader = BodyReader {
+    let framing = Framing::of_relayed(&job.method, reply.status, &reply.headers);
+    let progress = AnswerProgress::new(framing, job.kind, reply.status, &reply.headers);
+    let mut reader = BodyReader {
         gateway,
+        progress,
         events: (resumable && reply.status.is_success()).then(EventReader::default),
         end_record: EndRecord {
             request: job.id.clone(),
             began,
             status: reply.status.as_u16(),
             outcome: "caller_left",
+            inside_event: false,
         },
         job,
         source: reply.source,
         done: false,
     };
+    reader.record_whole_length();
     stream::unfold(reader, |mut reader| async move {
         if reader.done {
             return None;
         }
         let item = reader.next().await?;
+        if let Ok(data) = &item {
+            reader.progress.push(data);
+            reader.end_record.inside_event = reader.progress.is_inside_event();
+            reader.record_whole_length();
+        }
         reader.done = item.is_err();
         Some((item.map(Frame::data), reader))
     })
@@ -119,6 +134,14 @@
         }
     }
 
+    /// Records that the answer is complete once all bytes of a body of known length are there. The
+    /// HTTP server does not ask for the end of such a body.
+    fn record_whole_length(&mut self) {
+        if self.progress.has_whole_length() {
+            self.end_record.outcome = "complete";
+        }
+    }
+
     /// Reads the next bytes from the source; `None` at the end of the answer.
     async fn read(&mut self) -> Result<Option<Bytes>, String> {
         let mut read_deadline = self.job.deadline;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -8,11 +8,12 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, Request};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
 use super::Gateway;
+use super::answer_progress::Framing;
 use super::attempt_timeout;
 use super::dialect::{PromptPart, ResponseHead, TargetHeaders};
 use super::job::{Failure, Job, Reply};
@@ -469,6 +470,14 @@
             self.pool().record_success(&choice.id);
             request_guard.report(TargetEvent::Succeeded);
         }
+        let length = body.size_hint().exact();
+        if Framing::of_target(length, &parts.headers) == Framing::ConnectionEnd {
+            metrics::counter!("limpetstand_unframed_answers_total").increment(1);
+            journal::line("unframed_answer")
+                .text("request", &job.id)
+                .text("target", choice.id.as_str())
+                .value("status", parts.status.as_u16());
+        }
         let keep_alive = keep_alive_after(&parts.headers, &response_head);
         let mut headers = parts.headers;
         strip_hop_by_hop_headers(&mut headers);
--- a/src/target.rs
+++ b/src/target.rs
@@ -16,7 +16,7 @@
 use crate::call::{Answer, Call};
 use crate::id::{RegionId, RequestId, TargetId};
 
-pub use sse::{EventSplitter, EventTooLong, event_data, event_id, is_done_event};
+pub use sse::{EventBoundary, EventSplitter, EventTooLong, event_data, event_id, is_done_event};
 
 /// The name, region and address of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/target/sse.rs
+++ b/src/target/sse.rs
@@ -74,6 +74,47 @@
     }
 }
 
+/// Tells whether a stream of events has ended between two events.
+///
+/// Lines end in LF or CRLF.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EventBoundary {
+    inside_event: bool,
+    line: Line,
+}
+
+/// The bytes of the current line so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Line {
+    #[default]
+    Empty,
+    CarriageReturn,
+    Text,
+}
+
+impl EventBoundary {
+    /// Adds bytes as received.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if *byte == b'\n' {
+                self.inside_event = self.line == Line::Text;
+                self.line = Line::Empty;
+                continue;
+            }
+            self.inside_event = true;
+            self.line = match (self.line, byte) {
+                (Line::Empty, b'\r') => Line::CarriageReturn,
+                _ => Line::Text,
+            };
+        }
+    }
+
+    /// Returns whether no event has begun, or the last event has ended with a blank line.
+    pub fn is_between_events(self) -> bool {
+        !self.inside_event
+    }
+}
+
 /// Returns the data lines of an event, joined by LF; empty for a comment.
 pub fn event_data(event: &[u8]) -> Vec<u8> {
     let mut data = Vec::new();
