End a stream as broken where its target stops inside an event

Callers saw a part of a stream framed as complete. Cause: an answer with neither a length nor chunks ends with its connection, and a crashed target's connection is closed in order, so that the HTTP library reports an ordinary end. The reader of a target's body took each end for the end of the answer, and the reader of a resumable stream sent the incomplete event that it held.

The reader of a target's body now follows the events and reports an error where an event stream ends inside an event, in any framing. A resumable stream that holds a part of an event is resumed.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::Gateway;
-use super::answer_progress::{AnswerProgress, Framing};
+use super::answer_progress::{AnswerProgress, Framing, Incomplete};
 use super::attempt_timeout;
 use super::job::{Job, Reply};
 use super::source::Source;
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Tells whether an event of an event stream has been received in part.
+    fn holds_partial_event(&self) -> bool {
+        let events = self.events.as_ref();
+        self.progress.is_event_stream() && events.is_some_and(|e| e.splitter.has_partial_event())
+    }
+
     /// Reads the next bytes from the source; `None` at the end of the answer.
     async fn read(&mut self) -> Result<Option<Bytes>, String> {
         let mut read_deadline = self.job.deadline;
@@ -154,6 +160,7 @@
         match timeout_at(read_deadline, self.source.next()).await {
             Ok(Some(Ok(data))) => Ok(Some(data)),
             Ok(Some(Err(why))) => Err(why),
+            Ok(None) if self.holds_partial_event() => Err(Incomplete::InsideEvent.to_string()),
             Ok(None) => Ok(None),
             Err(_) => Err("silent".to_owned()),
         }
--- a/src/gateway/answer_progress.rs
+++ b/src/gateway/answer_progress.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// Why an answer is incomplete although its connection was closed in order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Incomplete {
+    /// An event stream ended inside an event.
+    #[error("the stream ended inside an event")]
+    InsideEvent,
+}
+
 /// Follows the body of one answer.
 #[derive(Debug)]
 pub struct AnswerProgress {
@@ -74,6 +82,11 @@
         }
     }
 
+    /// Tells whether the body is an event stream.
+    pub fn is_event_stream(&self) -> bool {
+        self.boundary.is_some()
+    }
+
     /// Records bytes of the body.
     pub fn push(&mut self, data: &[u8]) {
         self.received += data.len() as u64;
@@ -82,6 +95,18 @@
         }
     }
 
+    /// Checks, where the source of the body reports its end, that the answer is complete.
+    ///
+    /// # Errors
+    ///
+    /// If the recorded bytes show that the answer was broken off.
+    pub fn check_end(&self) -> Result<(), Incomplete> {
+        if self.is_inside_event() {
+            return Err(Incomplete::InsideEvent);
+        }
+        Ok(())
+    }
+
     /// Tells whether all bytes of a body of known length have been recorded.
     pub fn has_whole_length(&self) -> bool {
         self.framing == Framing::Length(self.received)
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Gateway;
-use super::answer_progress::Framing;
+use super::answer_progress::{AnswerProgress, Framing};
 use super::attempt_timeout;
 use super::dialect::{PromptPart, ResponseHead, TargetHeaders};
 use super::job::{Failure, Job, Reply};
@@ -471,13 +471,15 @@
             request_guard.report(TargetEvent::Succeeded);
         }
         let length = body.size_hint().exact();
-        if Framing::of_target(length, &parts.headers) == Framing::ConnectionEnd {
+        let framing = Framing::of_target(length, &parts.headers);
+        if framing == Framing::ConnectionEnd {
             metrics::counter!("limpetstand_unframed_answers_total").increment(1);
             journal::line("unframed_answer")
                 .text("request", &job.id)
                 .text("target", choice.id.as_str())
                 .value("status", parts.status.as_u16());
         }
+        let progress = AnswerProgress::new(framing, job.kind, parts.status, &parts.headers);
         let keep_alive = keep_alive_after(&parts.headers, &response_head);
         let mut headers = parts.headers;
         strip_hop_by_hop_headers(&mut headers);
@@ -488,6 +490,7 @@
             attempts: job.attempts,
             source: Source::Target(Box::new(TargetSource {
                 body,
+                progress,
                 connection: Some(connection),
                 keep_alive,
                 _request_guard: request_guard,
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::Gateway;
+use super::answer_progress::AnswerProgress;
 use super::callers::InFlightGuard;
 use super::placement::Place;
 use super::pool::TargetEvent;
@@ -112,6 +113,8 @@
 pub(super) struct TargetSource {
     /// The body as received.
     pub body: Incoming,
+    /// The progress of the body, which tells whether its end is that of the answer.
+    pub progress: AnswerProgress,
     /// The connection to the target; `None` once the body is complete.
     pub connection: Option<Connection>,
     /// How long the target keeps unused connections open, if the target says; `None` if the target
@@ -131,6 +134,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    self.progress.push(&data);
                     return Some(Ok(data));
                 }
                 Some(Err(e)) => {
@@ -138,6 +142,10 @@
                     return Some(Err(e.to_string()));
                 }
                 None => {
+                    if let Err(e) = self.progress.check_end() {
+                        self.connection = None;
+                        return Some(Err(e.to_string()));
+                    }
                     if let (Some(connection), Some(time)) =
                         (self.connection.take(), self.keep_alive)
                     {
