--- a/src/gateway/head_timeout.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,4 +1,4 @@
-//! A time limit on receiving the head of a request.
+//! A caller's connection: a time limit on heads, and a reset where an answer breaks off.
 
 use std::future::Future;
 use std::io;
@@ -9,13 +9,17 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
 /// A connection whose reads fail if the head of a request is not complete within a time limit.
 ///
 /// The time starts with the first byte of the head, so an idle connection may stay open longer.
-pub(super) struct HeadTimeout<S> {
-    stream: S,
+///
+/// The connection is reset when dropped if an answer broke off whose end only the end of the
+/// connection tells.
+pub(super) struct CallerStream {
+    stream: TcpStream,
     time_limit: Duration,
     tracker: Arc<RequestTracker>,
     /// Number of complete heads at the latest read.
@@ -28,10 +32,18 @@
 pub(super) struct RequestTracker {
     complete_heads: AtomicU64,
     serving: AtomicBool,
+    broken_off: AtomicBool,
 }
 
-impl<S> HeadTimeout<S> {
-    pub(super) fn new(stream: S, time_limit: Duration) -> Self {
+impl RequestTracker {
+    /// Records that an answer broke off whose end only the end of the connection tells.
+    pub(super) fn record_broken_off(&self) {
+        self.broken_off.store(true, Ordering::Release);
+    }
+}
+
+impl CallerStream {
+    pub(super) fn new(stream: TcpStream, time_limit: Duration) -> Self {
         Self {
             stream,
             time_limit,
@@ -47,6 +59,17 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if !self.tracker.broken_off.load(Ordering::Acquire) {
+            return;
+        }
+        if let Err(e) = self.stream.set_zero_linger() {
+            log::warn!("cannot reset a connection whose answer broke off: {e}");
+        }
+    }
+}
+
 /// Suspends the time limit of a connection from the end of a head to the end of the response.
 pub(super) struct ServingGuard(Arc<RequestTracker>);
 
@@ -65,7 +88,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for HeadTimeout<S> {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -94,7 +117,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for HeadTimeout<S> {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -13,8 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::caller_stream::{CallerStream, ServingGuard};
 use super::callers::{GuardedBody, ResponseBody};
-use super::head_timeout::{HeadTimeout, ServingGuard};
 use super::routes::CallerLimits;
 use crate::accept::{accept, serve_until_stopped};
 
@@ -58,14 +58,25 @@
     stop: watch::Receiver<bool>,
 ) {
     let limits = handler.limits();
-    let stream = HeadTimeout::new(stream, limits.header_timeout);
+    let stream = CallerStream::new(stream, limits.header_timeout);
     let tracker = stream.tracker();
     let service = service_fn(move |req: Request<Incoming>| {
         let handler = Arc::clone(&handler);
         let guard = ServingGuard::new(&tracker);
+        let tracker = Arc::clone(&tracker);
         async move {
+            // Such callers do not know chunks.
+            let ends_with_connection = req.version() < Version::HTTP_11;
             let response = handler.handle(req).await;
-            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(guard, body).boxed_unsync()))
+            let response = response.map(|body| {
+                GuardedBody::new(guard, body).map_err(move |e| {
+                    if ends_with_connection {
+                        tracker.record_broken_off();
+                    }
+                    e
+                })
+            });
+            Ok::<_, Infallible>(response.map(BodyExt::boxed_unsync))
         }
     });
     let connection = http1::Builder::new()
