--- a/src/gateway/answer_progress.rs
+++ b/src/gateway/answer_progress.rs
@@ -9,6 +9,12 @@
 /// The media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// The media type of JSON.
+const JSON: &str = "application/json";
+
+/// The end of media types that are based on JSON (RFC 6839, section 3.1).
+const JSON_SUFFIX: &str = "+json";
+
 /// How the end of an answer's body is recognised (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -56,6 +62,54 @@
     /// An event stream ended inside an event.
     #[error("the stream ended inside an event")]
     InsideEvent,
+    /// An event stream ended with its connection, before its first event.
+    #[error("the stream ended before its first event")]
+    NoEvent,
+    /// A JSON text ended with its connection, inside a value.
+    #[error("the answer ended inside a JSON value")]
+    InsideJson,
+}
+
+/// What is known of the content of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Content {
+    Events(EventBoundary),
+    Json(JsonNesting),
+    Opaque,
+}
+
+/// The position within a JSON text.
+///
+/// Numbers and names outside arrays and objects may be cut without notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct JsonNesting {
+    begun: bool,
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+}
+
+impl JsonNesting {
+    fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.in_string {
+                self.in_string = self.escaped || *byte != b'"';
+                self.escaped = !self.escaped && *byte == b'\\';
+                continue;
+            }
+            match byte {
+                b'"' => self.in_string = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            self.begun |= !byte.is_ascii_whitespace();
+        }
+    }
+
+    fn is_whole(self) -> bool {
+        self.begun && self.depth == 0 && !self.in_string
+    }
 }
 
 /// Follows the body of one answer.
@@ -63,35 +117,40 @@
 pub struct AnswerProgress {
     framing: Framing,
     received: u64,
-    /// The position within an event stream; `None` if the body is not an event stream.
-    boundary: Option<EventBoundary>,
+    content: Content,
 }
 
 impl AnswerProgress {
     /// Creates the progress of an answer on a route of this kind.
     pub fn new(framing: Framing, kind: RouteKind, status: StatusCode, headers: &HeaderMap) -> Self {
         let media_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-        let is_event_stream = match media_type {
-            Some(media_type) => is_event_stream(media_type),
-            None => is_stream_route(kind) && framing == Framing::ConnectionEnd,
+        let content = match media_type {
+            _ if !status.is_success() => Content::Opaque,
+            Some(media_type) => content_of(media_type),
+            None if is_stream_route(kind) && framing == Framing::ConnectionEnd => {
+                Content::Events(EventBoundary::default())
+            }
+            None => Content::Opaque,
         };
         Self {
             framing,
             received: 0,
-            boundary: (is_event_stream && status.is_success()).then(EventBoundary::default),
+            content,
         }
     }
 
     /// Tells whether the body is an event stream.
     pub fn is_event_stream(&self) -> bool {
-        self.boundary.is_some()
+        matches!(self.content, Content::Events(_))
     }
 
     /// Records bytes of the body.
     pub fn push(&mut self, data: &[u8]) {
         self.received += data.len() as u64;
-        if let Some(boundary) = &mut self.boundary {
-            boundary.push(data);
+        match &mut self.content {
+            Content::Events(boundary) => boundary.push(data),
+            Content::Json(nesting) => nesting.push(data),
+            Content::Opaque => {}
         }
     }
 
@@ -101,10 +160,19 @@
     ///
     /// If the recorded bytes show that the answer was broken off.
     pub fn check_end(&self) -> Result<(), Incomplete> {
-        if self.is_inside_event() {
-            return Err(Incomplete::InsideEvent);
+        let ends_with_connection = self.framing == Framing::ConnectionEnd;
+        match self.content {
+            Content::Events(boundary) if !boundary.is_between_events() => {
+                Err(Incomplete::InsideEvent)
+            }
+            Content::Events(_) if ends_with_connection && self.received == 0 => {
+                Err(Incomplete::NoEvent)
+            }
+            Content::Json(nesting) if ends_with_connection && !nesting.is_whole() => {
+                Err(Incomplete::InsideJson)
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Tells whether all bytes of a body of known length have been recorded.
@@ -114,13 +182,19 @@
 
     /// Tells whether the recorded bytes end inside an event of an event stream.
     pub fn is_inside_event(&self) -> bool {
-        self.boundary.is_some_and(|b| !b.is_between_events())
+        matches!(self.content, Content::Events(boundary) if !boundary.is_between_events())
     }
 }
 
-fn is_event_stream(media_type: &str) -> bool {
+fn content_of(media_type: &str) -> Content {
     let name = media_type.split(';').next().unwrap_or_default();
-    name.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    let name = name.trim().to_ascii_lowercase();
+    match name.as_str() {
+        EVENT_STREAM => Content::Events(EventBoundary::default()),
+        JSON => Content::Json(JsonNesting::default()),
+        name if name.ends_with(JSON_SUFFIX) => Content::Json(JsonNesting::default()),
+        _ => Content::Opaque,
+    }
 }
 
 fn is_stream_route(kind: RouteKind) -> bool {
