Break off a long answer of a stream request that fails, without an event

A failed answer that is not an event stream, too long to be buffered, got an error event and a proper end.

--- a/src/front/relay.rs
+++ b/src/front/relay.rs
@@ -115,13 +115,14 @@
     /// A successful event stream is forwarded at once; any other answer is first buffered until
     /// complete, so that a failure can still be reported as a refusal.
     pub(super) async fn answer(
-        self,
+        mut self,
         answer: Answer,
         context: &ResponseContext,
     ) -> Result<Response, Refusal> {
         if self.event_stream && answer.head.status == 200 {
             return Ok(self.stream(answer, context));
         }
+        self.event_stream = false;
         self.buffered(answer, context).await
     }
 
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -341,11 +341,17 @@
             );
         }
         let (tx, rx) = mpsc::channel(8);
+        let mut status = 200;
         let stream = text.contains("\"stream\":true");
         let event = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
         let whole = r#"{"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}"#;
         let first = if stream { event } else { whole };
         tx.send(Ok(Bytes::from(first))).await.expect("room");
+        if text.contains("long failure") {
+            let long = Bytes::from(vec![b'x'; 9 * 1024 * 1024]);
+            tx.send(Ok(long)).await.expect("room");
+            status = 400;
+        }
         if text.contains("break") {
             let refusal = Refusal::unknown(Code::TargetFailed, "broke");
             tx.send(Err(refusal)).await.expect("room");
@@ -355,7 +361,7 @@
                 .expect("room");
         }
         let head = AnswerHead {
-            status: 200,
+            status,
             content_type: "text/event-stream".to_owned(),
             target: "t1".into(),
             region: "south".into(),
@@ -471,6 +477,22 @@
     assert!(!whole.contains("completion_tokens"));
 }
 
+#[tokio::test]
+async fn a_long_answer_that_breaks_does_not_end_with_an_event() {
+    let running = start().await;
+    let answer = raw(
+        running.address,
+        &post("", &prompt("long failure, break", true)),
+    )
+    .await;
+    assert_eq!(status(&answer), 400);
+    assert!(
+        !answer.contains("event: error"),
+        "the body is not an event stream"
+    );
+    assert!(!answer.ends_with("0\r\n\r\n"), "the body looks complete");
+}
+
 #[tokio::test]
 async fn refusals_have_ran_and_retry_after() {
     let running = start().await;
