Leave targets alone that leave or ask for quiet in their answers

gateway::withdrawal decides: a process that leaves gets no requests until another has its name, whatever the registry says; quiet lasts at least as long as asked and at most a minute, and instances return spread over a quarter of it. The pool leaves such targets out, the scheduler learns of them with the reports of a place, and a request with a place is placed anew if its target has withdrawn before the send. If all targets of a region are quiet, a request that may wait until the first returns does so; any other is refused at once with that time.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,7 +4,8 @@
 //! The gateway runs on platforms that keep the configuration, the targets and the list of instances
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
-//! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`region`], [`warmup`], [`retry`],
+//! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`], [`region`],
+//! [`warmup`], [`retry`],
 //! [`tolerance`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::collections::HashMap;
@@ -51,6 +52,7 @@
 pub mod tolerance;
 mod upstream;
 pub mod warmup;
+pub mod withdrawal;
 
 pub use self::callers::{combined_priority, refusal_status, spread_retry_after};
 pub use self::directory::{directory_entries, directory_ttl};
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -2,7 +2,7 @@
 //! about further attempts.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -15,7 +15,7 @@
 use super::Gateway;
 use super::answer_progress::AnswerProgress;
 use super::attempt_timeout;
-use super::dialect::{PromptPart, ResponseHead, TargetHeaders};
+use super::dialect::{PromptPart, ResponseHead, RetryAfter, TargetHeaders};
 use super::job::{Failure, Job, Reply};
 use super::load_shedding;
 use super::placement::{Place, Placed, Placement};
@@ -24,6 +24,7 @@
 use super::region;
 use super::source::{Source, TargetRequestGuard, TargetSource};
 use super::upstream::{Connection, SendError};
+use super::withdrawal::quiet_time;
 use crate::id::{RegionId, TargetId};
 use crate::journal;
 use crate::refusal::{Code, Ran, Refusal};
@@ -160,6 +161,7 @@
         let mut tried: Vec<TargetId> = Vec::new();
         let mut unreachable_targets = 0;
         let mut first_send = true;
+        let mut waited = false;
         if job.attempts == 0 {
             self.record_request(job);
         }
@@ -174,6 +176,15 @@
                 Placement::Overloaded(wait_ms) => {
                     return Err(self.overloaded_failure(job, wait_ms));
                 }
+                Placement::Quiet(left_ms) => {
+                    let left = from_millis(left_ms);
+                    let may_wait = !std::mem::replace(&mut waited, true);
+                    if may_wait && left <= job.max_wait && left < job.time_left() {
+                        sleep(left).await;
+                        continue;
+                    }
+                    return Err(last_failure.unwrap_or_else(|| self.quiet_failure(job, left)));
+                }
                 Placement::NoTarget => {
                     return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
                 }
@@ -239,6 +250,12 @@
         self.failure(job, refusal)
     }
 
+    /// Creates the failure of a request while all targets want no requests.
+    fn quiet_failure(&self, job: &Job, left: Duration) -> Failure {
+        let refusal = Refusal::not_run(Code::Overloaded, "all targets have asked for quiet");
+        self.failure(job, refusal.retry_after(left.max(RETRY_AFTER)))
+    }
+
     pub(super) fn failure(&self, job: &Job, refusal: Refusal) -> Failure {
         Failure {
             refusal,
@@ -257,13 +274,7 @@
             tried,
             |pool, now, view, query| pool.choose(now, view, &self.region, query, rand::random),
         );
-        match choice {
-            Some(choice) => Placement::Placed(Box::new(Placed {
-                choice,
-                place: None,
-            })),
-            None => Placement::NoTarget,
-        }
+        self.placement_of(choice, job, tried)
     }
 
     /// Calls `run_query` with the pool and a query built from the region's known instances and the
@@ -346,6 +357,11 @@
         place: Option<Place>,
     ) -> Result<Reply, AttemptError> {
         let now = self.clock.now();
+        if !self.pool().takes_requests(now, choice) {
+            return Err(AttemptError::NotRun(
+                "the target leaves or has asked for quiet".to_owned(),
+            ));
+        }
         let load_age = format_ms(self.pool().load_report_age(now, &choice.id).map(to_millis));
         let has_place = place.is_some();
         let mut request_guard = match place {
@@ -437,6 +453,7 @@
             self.eject_target(job, choice, "another target has its address");
             return Err(AttemptError::NotRun("the target has gone".to_owned()));
         }
+        self.record_withdrawal(job, choice, &response_head, &request_guard);
         if response_head.not_run {
             return Err(AttemptError::NotRun(format!(
                 "the target is full: {}",
@@ -500,6 +517,51 @@
         })
     }
 
+    /// Takes a target out of use that says that it leaves or wants no requests for a time.
+    fn record_withdrawal(
+        &self,
+        job: &Job,
+        choice: &Choice,
+        head: &ResponseHead,
+        request_guard: &TargetRequestGuard,
+    ) {
+        let now = self.clock.now();
+        let started = choice.known.entry.started_unix_ms;
+        if head.leaving {
+            request_guard.report(TargetEvent::Leaving);
+            let is_new = self
+                .pool()
+                .withdrawals()
+                .record_leaving(now, &choice.id, started);
+            if is_new {
+                self.upstream().close_idle(choice.known.entry.address);
+                metrics::counter!("limpetstand_targets_leaving_total").increment(1);
+                journal::line("target_leaving")
+                    .text("request", &job.id)
+                    .text("target", choice.id.as_str())
+                    .value("born", started);
+            }
+        }
+        let Some(retry_after) = &head.retry_after else {
+            return;
+        };
+        let quiet = quiet_time(retry_after, SystemTime::now());
+        request_guard.report(TargetEvent::Quiet(quiet));
+        let until =
+            self.pool()
+                .withdrawals()
+                .record_quiet(now, &choice.id, started, quiet, rand::random());
+        metrics::counter!("limpetstand_targets_quiet_total").increment(1);
+        let line = journal::line("target_quiet")
+            .text("request", &job.id)
+            .text("target", choice.id.as_str())
+            .ms("quiet_ms", quiet)
+            .ms("left_out_ms", until.saturating_sub(now));
+        if let RetryAfter::Malformed(text) = retry_after {
+            line.text("malformed", text);
+        }
+    }
+
     /// Builds the request to a target.
     fn build_request(
         &self,
@@ -581,7 +643,7 @@
     Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
 }
 
-fn to_millis(time: Duration) -> f64 {
+pub(super) fn to_millis(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
 
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::Gateway;
-use super::attempts::{attempt_failed_line, format_ms, no_target_failure};
+use super::attempts::{attempt_failed_line, format_ms, no_target_failure, to_millis};
 use super::job::{Failure, Job, Reply};
 use super::placement::Placement;
 use super::pool;
@@ -165,14 +165,26 @@
     }
 
     /// Returns the expected wait at the best target of this region, and whether that target is
-    /// ejected.
+    /// ejected. If all targets have asked for quiet, the wait lasts until the first one takes
+    /// requests again.
     fn local_quote(&self, job: &Job) -> (Option<f64>, bool) {
-        let quote = self.query_pool(&job.service, &job.prompt, &[], |pool, now, view, query| {
-            pool.evaluate(now, view, &self.region, query, rand::random)
-        });
-        match quote {
-            Some(choice) => (Some(choice.wait_ms), choice.ejected),
-            None => (None, false),
-        }
+        self.query_pool(
+            &job.service,
+            &job.prompt,
+            &[],
+            |pool, now, view, query| match pool.evaluate(
+                now,
+                view,
+                &self.region,
+                query,
+                rand::random,
+            ) {
+                Some(choice) => (Some(choice.wait_ms), choice.ejected),
+                None => {
+                    let quiet = pool.quiet_left(now, view, &self.region, query);
+                    (quiet.map(to_millis), false)
+                }
+            },
+        )
     }
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
@@ -111,6 +111,17 @@
     pub resume_after: Option<&'a str>,
 }
 
+/// When a target that turns a request away wants the next one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// After this time.
+    Time(Duration),
+    /// From this date on.
+    Date(SystemTime),
+    /// The header is malformed.
+    Malformed(SmolStr),
+}
+
 /// The information in the head of a target's response.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
@@ -122,6 +133,10 @@
     pub id: Option<SmolStr>,
     /// The target's running requests, waiting requests and slots.
     pub load: Option<(u32, u32, u32)>,
+    /// Whether the target says that it is about to leave.
+    pub leaving: bool,
+    /// When the target, which turns requests away for now, wants the next one.
+    pub retry_after: Option<RetryAfter>,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::attempts::to_millis;
 use super::dialect::PromptPart;
 use super::job::Job;
 use super::platform_view::PlatformView;
@@ -73,6 +74,8 @@
     /// Every target would keep the request waiting for too long; the shortest wait.
     Overloaded(f64),
     NoTarget,
+    /// Every target has asked for quiet; the time until the first one takes requests again.
+    Quiet(f64),
 }
 
 /// Whether and where a request may be sent.
@@ -81,6 +84,9 @@
     Placed(Box<Placed>),
     /// Every target would keep the request waiting for too long; the shortest wait in milliseconds.
     Overloaded(f64),
+    /// Every target has asked for quiet; the time until the first one takes requests again, in
+    /// milliseconds.
+    Quiet(f64),
     /// No target takes the request now.
     NoTarget,
 }
@@ -90,7 +96,7 @@
     pub(super) fn wait_ms(&self) -> Option<f64> {
         match self {
             Self::Placed(placed) => Some(placed.choice.wait_ms),
-            Self::Overloaded(wait_ms) => Some(*wait_ms),
+            Self::Overloaded(wait_ms) | Self::Quiet(wait_ms) => Some(*wait_ms),
             Self::NoTarget => None,
         }
     }
@@ -144,6 +150,8 @@
     Failed,
     Unreachable,
     Ended,
+    Leaving,
+    Quiet { ms: u32 },
 }
 
 impl WireReport {
@@ -164,6 +172,10 @@
             TargetEvent::Failed => Self::Failed,
             TargetEvent::Unreachable => Self::Unreachable,
             TargetEvent::Ended => Self::Ended,
+            TargetEvent::Leaving => Self::Leaving,
+            TargetEvent::Quiet(quiet) => Self::Quiet {
+                ms: u32::try_from(quiet.as_millis()).unwrap_or(u32::MAX),
+            },
         }
     }
 }
@@ -177,6 +189,8 @@
             WireEvent::Failed => Self::Failed,
             WireEvent::Unreachable => Self::Unreachable,
             WireEvent::Ended => Self::Ended,
+            WireEvent::Leaving => Self::Leaving,
+            WireEvent::Quiet { ms } => Self::Quiet(Duration::from_millis(ms.into())),
         }
     }
 }
@@ -299,6 +313,7 @@
     pub(super) async fn place(self: &Arc<Self>, job: &Job, tried: &[TargetId]) -> Placement {
         let mut asked: Vec<InstanceId> = Vec::new();
         let mut overloaded: Option<f64> = None;
+        let mut quiet: Option<f64> = None;
         while let Some((id, address)) = self.next_scheduler(job, tried, &asked) {
             let (place, scheduler) = if id == self.id {
                 (Some(self.place_here(&place_request(job, tried))), None)
@@ -343,15 +358,19 @@
                     let shortest = overloaded.map_or(wait_ms, |o| o.min(wait_ms));
                     overloaded = Some(shortest);
                 }
+                Some(WirePlace::Quiet(left_ms)) => {
+                    quiet = Some(quiet.map_or(left_ms, |q| q.min(left_ms)));
+                }
                 Some(WirePlace::NoTarget) | None => {}
             }
             if asked.len() >= MAX_SCHEDULERS_ASKED {
                 break;
             }
         }
-        match overloaded {
-            Some(wait_ms) => Placement::Overloaded(wait_ms),
-            None => self.choose_alone(job, tried),
+        match (overloaded, quiet) {
+            (Some(wait_ms), _) => Placement::Overloaded(wait_ms),
+            (None, Some(left_ms)) => Placement::Quiet(left_ms),
+            (None, None) => self.choose_alone(job, tried),
         }
     }
 
@@ -422,13 +441,29 @@
                 pool.choose(now, view, &self.region, &query, rand::random)
             },
         );
-        match choice {
-            Some(choice) => Placement::Placed(Box::new(Placed {
+        self.placement_of(choice, job, tried)
+    }
+
+    /// Returns the placement of a request for which this instance has chosen by itself.
+    pub(super) fn placement_of(
+        &self,
+        choice: Option<Choice>,
+        job: &Job,
+        tried: &[TargetId],
+    ) -> Placement {
+        if let Some(choice) = choice {
+            return Placement::Placed(Box::new(Placed {
                 choice,
                 place: None,
-            })),
-            None => Placement::NoTarget,
+            }));
         }
+        let quiet = self.query_pool(
+            &job.service,
+            &job.prompt,
+            tried,
+            |pool, now, view, query| pool.quiet_left(now, view, &self.region, query),
+        );
+        quiet.map_or(Placement::NoTarget, |q| Placement::Quiet(to_millis(q)))
     }
 
     /// Reserves a place at a target that this instance schedules.
@@ -459,7 +494,8 @@
         let mut pool = self.pool();
         let quote = pool.evaluate(now, &view, &self.region, &query, rand::random);
         let Some(quote) = quote else {
-            return WirePlace::NoTarget;
+            let quiet = pool.quiet_left(now, &view, &self.region, &query);
+            return quiet.map_or(WirePlace::NoTarget, |q| WirePlace::Quiet(to_millis(q)));
         };
         if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max) {
             return WirePlace::Overloaded(quote.wait_ms);
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -16,6 +16,7 @@
 use super::registry::KnownTarget;
 use super::scheduler::TAKEOVER_TIME;
 use super::warmup::{self, RecentSends};
+use super::withdrawal::Withdrawals;
 use crate::id::{RegionId, TargetId};
 use crate::rendezvous::weight;
 
@@ -127,6 +128,10 @@
     Failed,
     /// The target could not be reached or broke the connection.
     Unreachable,
+    /// The target is about to leave.
+    Leaving,
+    /// The target wants no requests for this time.
+    Quiet(Duration),
     /// The request has ended.
     Ended,
 }
@@ -151,6 +156,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     states: HashMap<TargetId, TargetState>,
+    withdrawals: Withdrawals,
 }
 
 impl Pool {
@@ -198,8 +204,10 @@
         let mut fallback: Option<Choice> = None;
         for (id, known) in candidates {
             let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
+            let started = known.entry.started_unix_ms;
             if !owned
                 || query.tried.contains(id)
+                || !self.withdrawals.takes_requests(now, id, started)
                 || !self.takes_another(now, view, id, known, query)
             {
                 continue;
@@ -268,6 +276,18 @@
             TargetEvent::Unreachable => {
                 self.eject(now, id);
             }
+            TargetEvent::Leaving => {
+                let started = self.states.get(id).map(|s| s.started_unix_ms);
+                if let Some(started) = started {
+                    self.withdrawals.record_leaving(now, id, started);
+                }
+            }
+            TargetEvent::Quiet(quiet) => {
+                let started = self.states.get(id).map(|s| s.started_unix_ms);
+                if let Some(started) = started {
+                    self.withdrawals.record_quiet(now, id, started, quiet, 0.0);
+                }
+            }
             // These events concern one reservation, whose tokens the scheduler knows.
             TargetEvent::Prefilled | TargetEvent::Ended => {}
         }
@@ -330,8 +350,46 @@
         ejection
     }
 
+    /// The targets that take no requests for now.
+    pub fn withdrawals(&mut self) -> &mut Withdrawals {
+        &mut self.withdrawals
+    }
+
+    /// Returns whether the process of a chosen target still takes requests.
+    pub fn takes_requests(&self, now: Duration, choice: &Choice) -> bool {
+        let started = choice.known.entry.started_unix_ms;
+        self.withdrawals.takes_requests(now, &choice.id, started)
+    }
+
+    /// Returns the time until the first of the targets that a query allows takes requests again, if
+    /// all of them are quiet or leave.
+    pub fn quiet_left(
+        &self,
+        now: Duration,
+        view: &PlatformView,
+        region: &RegionId,
+        query: &TargetQuery<'_>,
+    ) -> Option<Duration> {
+        let mut least: Option<Duration> = None;
+        for (id, known) in candidates(view, region, query.service) {
+            let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
+            if !owned || query.tried.contains(id) {
+                continue;
+            }
+            let started = known.entry.started_unix_ms;
+            if self.withdrawals.takes_requests(now, id, started) {
+                return None;
+            }
+            if let Some(left) = self.withdrawals.quiet_left(now, id, started) {
+                least = Some(least.map_or(left, |l| l.min(left)));
+            }
+        }
+        least
+    }
+
     /// Drops the state of targets that no longer exist and have no request in flight.
-    pub fn retain(&mut self, view: &PlatformView) {
+    pub fn retain(&mut self, now: Duration, view: &PlatformView) {
+        self.withdrawals.expire(now);
         self.states
             .retain(|id, state| state.in_flight > 0 || view.targets.contains_key(id));
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -239,7 +239,7 @@
         sleep(UPKEEP_PERIOD).await;
         gateway.upstream.sweep();
         let view = gateway.view();
-        gateway.pool().retain(&view);
+        gateway.pool().retain(gateway.clock.now(), &view);
         gateway.expire_reservations();
         metrics.run_upkeep();
     }
--- /dev/null
+++ b/src/gateway/withdrawal.rs
@@ -0,0 +1,119 @@
+//! Which targets have said that they take no more requests, and for how long.
+//!
+//! A target that leaves says so in its answers, and one that is full may ask for quiet. Both are
+//! honoured at once, whatever the registry says: a target that leaves gets no request until another
+//! process has taken its name, and one that asked for quiet gets none before the end of that time.
+
+use std::collections::HashMap;
+use std::time::{Duration, SystemTime};
+
+use super::dialect::RetryAfter;
+use crate::id::TargetId;
+
+/// Longest time for which a target is left alone; a target that needs more asks again.
+const MAX_QUIET: Duration = Duration::from_secs(60);
+
+/// Quiet for a target that asks for a time that cannot be read.
+const DEFAULT_QUIET: Duration = Duration::from_secs(1);
+
+/// Part of the quiet by which instances return later at random, so that they do not all return at
+/// once.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Longest time by which instances return later at random.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
+/// How long a target that leaves is remembered after the registry has lost it.
+const LEAVING_MEMORY: Duration = Duration::from_secs(300);
+
+/// Returns for how long a target wants to be left alone; `unix_now` is the time of day.
+pub fn quiet_time(retry_after: &RetryAfter, unix_now: SystemTime) -> Duration {
+    let asked = match retry_after {
+        RetryAfter::Time(time) => *time,
+        RetryAfter::Date(date) => date.duration_since(unix_now).unwrap_or_default(),
+        RetryAfter::Malformed(_) => DEFAULT_QUIET,
+    };
+    asked.min(MAX_QUIET)
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Withdrawal {
+    started_unix_ms: u64,
+    leaving_since: Option<Duration>,
+    quiet_until: Duration,
+}
+
+/// The targets that take no requests, with the start times of their processes.
+#[derive(Debug, Clone, Default)]
+pub struct Withdrawals {
+    targets: HashMap<TargetId, Withdrawal>,
+}
+
+impl Withdrawals {
+    /// Records that a target's process leaves; returns whether that is new.
+    pub fn record_leaving(&mut self, now: Duration, id: &TargetId, started_unix_ms: u64) -> bool {
+        let withdrawal = self.entry(id, started_unix_ms);
+        withdrawal.leaving_since.replace(now).is_none()
+    }
+
+    /// Records that a target wants no requests for a time; returns the end of that time, later by a
+    /// random part for which `draw` is a random number from 0 to 1.
+    pub fn record_quiet(
+        &mut self,
+        now: Duration,
+        id: &TargetId,
+        started_unix_ms: u64,
+        quiet: Duration,
+        draw: f64,
+    ) -> Duration {
+        let spread = quiet.mul_f64(RETURN_SPREAD).min(MAX_RETURN_SPREAD);
+        let until = now + quiet + spread.mul_f64(draw.clamp(0.0, 1.0));
+        let withdrawal = self.entry(id, started_unix_ms);
+        withdrawal.quiet_until = withdrawal.quiet_until.max(until);
+        withdrawal.quiet_until
+    }
+
+    /// Returns whether a target's process takes requests now.
+    pub fn takes_requests(&self, now: Duration, id: &TargetId, started_unix_ms: u64) -> bool {
+        self.of(id, started_unix_ms)
+            .is_none_or(|w| w.leaving_since.is_none() && w.quiet_until <= now)
+    }
+
+    /// Returns how long a target's process stays quiet; `None` if the process leaves, or takes
+    /// requests now.
+    pub fn quiet_left(
+        &self,
+        now: Duration,
+        id: &TargetId,
+        started_unix_ms: u64,
+    ) -> Option<Duration> {
+        let withdrawal = self.of(id, started_unix_ms)?;
+        if withdrawal.leaving_since.is_some() || withdrawal.quiet_until <= now {
+            return None;
+        }
+        Some(withdrawal.quiet_until - now)
+    }
+
+    /// Forgets targets that take requests again, and those that left long ago.
+    pub fn expire(&mut self, now: Duration) {
+        self.targets.retain(|_, w| {
+            w.quiet_until > now || w.leaving_since.is_some_and(|at| now < at + LEAVING_MEMORY)
+        });
+    }
+
+    fn of(&self, id: &TargetId, started_unix_ms: u64) -> Option<&Withdrawal> {
+        let withdrawal = self.targets.get(id)?;
+        (withdrawal.started_unix_ms == started_unix_ms).then_some(withdrawal)
+    }
+
+    fn entry(&mut self, id: &TargetId, started_unix_ms: u64) -> &mut Withdrawal {
+        let withdrawal = self.targets.entry(id.clone()).or_default();
+        if withdrawal.started_unix_ms != started_unix_ms {
+            *withdrawal = Withdrawal {
+                started_unix_ms,
+                ..Withdrawal::default()
+            };
+        }
+        withdrawal
+    }
+}
--- /dev/null
+++ b/tests/withdrawal.rs
@@ -0,0 +1,69 @@
+//! Tests of the decision which targets take no requests for a while.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime};
+
+use limpetstand::gateway::dialect::RetryAfter;
+use limpetstand::gateway::withdrawal::{Withdrawals, quiet_time};
+use limpetstand::id::TargetId;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn a_leaving_target_takes_requests_again_only_as_another_process() {
+    let target: TargetId = "t".into();
+    let mut withdrawals = Withdrawals::default();
+    assert!(withdrawals.takes_requests(ms(0), &target, 1));
+    assert!(withdrawals.record_leaving(ms(0), &target, 1));
+    assert!(!withdrawals.record_leaving(ms(10), &target, 1));
+    withdrawals.expire(ms(200_000));
+    assert!(!withdrawals.takes_requests(ms(200_000), &target, 1));
+    assert_eq!(withdrawals.quiet_left(ms(200_000), &target, 1), None);
+    assert!(withdrawals.takes_requests(ms(200_000), &target, 2));
+    withdrawals.expire(ms(301_000));
+    assert!(withdrawals.takes_requests(ms(301_000), &target, 1));
+}
+
+#[test]
+fn quiet_lasts_at_least_as_long_as_asked() {
+    let target: TargetId = "t".into();
+    let mut withdrawals = Withdrawals::default();
+    let until = withdrawals.record_quiet(ms(100), &target, 1, ms(2_000), 0.0);
+    assert_eq!(until, ms(2_100));
+    // An answer that comes later with a shorter time does not shorten the quiet.
+    withdrawals.record_quiet(ms(200), &target, 1, ms(500), 1.0);
+    assert!(!withdrawals.takes_requests(ms(2_099), &target, 1));
+    assert_eq!(withdrawals.quiet_left(ms(600), &target, 1), Some(ms(1_500)));
+    assert!(withdrawals.takes_requests(ms(2_100), &target, 1));
+    assert!(withdrawals.takes_requests(ms(600), &target, 2));
+}
+
+#[test]
+fn times_that_cannot_be_believed_are_bounded() {
+    let now = SystemTime::UNIX_EPOCH + ms(1_000_000);
+    let time = |retry_after| quiet_time(&retry_after, now);
+    assert_eq!(time(RetryAfter::Time(ms(1_500))), ms(1_500));
+    assert_eq!(time(RetryAfter::Time(Duration::MAX)), ms(60_000));
+    assert_eq!(time(RetryAfter::Date(now + ms(3_000))), ms(3_000));
+    assert_eq!(time(RetryAfter::Date(now - ms(3_000))), ms(0));
+    assert_eq!(time(RetryAfter::Date(now + ms(900_000))), ms(60_000));
+    assert_eq!(time(RetryAfter::Malformed("soon".into())), ms(1_000));
+}
+
+/// Plays the return of 300 instances that were told at the same time to leave a target alone.
+#[test]
+fn three_hundred_instances_do_not_return_at_once() {
+    let target: TargetId = "t".into();
+    let mut returns: BTreeMap<u128, usize> = BTreeMap::new();
+    for n in 0..300_u32 {
+        let mut withdrawals = Withdrawals::default();
+        let draw = f64::from(n) / 300.0;
+        let until = withdrawals.record_quiet(ms(0), &target, 1, ms(2_000), draw);
+        assert!(until >= ms(2_000) && until <= ms(2_500));
+        *returns.entry(until.as_millis() / 50).or_default() += 1;
+    }
+    let most = returns.values().max().copied().unwrap_or(0);
+    assert!(most <= 60, "{most} of 300 instances return within 50 ms");
+}
