Merge parts set aside under one name, so that the ledger can be read

A holder that had set aside a part before it ended unconfirmed was renamed to a holder that existed: the ledger then had the same holder twice, which every reader rejects, and no part of a limit could change any more. parts_set_aside_twice_under_one_name_can_be_read failed before, and so did the property with restores, whose model now reads back what it stores; it did not encode the ledger before, which is why it missed this.

--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -120,12 +120,7 @@
         let part = self.part(id);
         let excess = part.saturating_sub(entitled);
         self.give_up(id, excess);
-        let name = format!("{SET_ASIDE_PREFIX}{}", id.instance);
-        let excess_id = HolderId {
-            instance: name.into(),
-            incarnation: id.incarnation,
-        };
-        self.set_aside(excess_id, excess);
+        self.set_aside(set_aside_id(id), excess);
         let mut wanted = entitled.saturating_sub(part);
         for holder in &mut self.holders {
             if !is_set_aside(&holder.id) {
@@ -225,19 +220,18 @@
                 .is_none_or(|(own, ledger)| own >= ledger)
         };
         let mut inherited_part = Part::ZERO;
-        for holder in &mut self.holders {
-            if !earlier(holder) {
-                continue;
-            }
+        let mut unconfirmed = Vec::new();
+        for holder in self.holders.iter().filter(|h| earlier(h)) {
             if is_confirmed(holder) {
                 inherited_part = inherited_part.saturating_add(holder.part);
-                continue;
+            } else {
+                unconfirmed.push((set_aside_id(&holder.id), holder.part));
             }
-            let name = format!("{SET_ASIDE_PREFIX}{}", holder.id.instance);
-            holder.id.instance = name.into();
-            holder.closing = true;
         }
         self.holders.retain(|h| !earlier(h));
+        for (id, part) in unconfirmed {
+            self.set_aside(id, part);
+        }
         self.join(id, region);
         if let Some(holder) = self.active_mut(id) {
             holder.part = holder.part.saturating_add(inherited_part);
@@ -300,6 +294,14 @@
     }
 }
 
+/// Returns the id under which parts of a holder are set aside.
+fn set_aside_id(id: &HolderId) -> HolderId {
+    HolderId {
+        instance: format!("{SET_ASIDE_PREFIX}{}", id.instance).into(),
+        incarnation: id.incarnation,
+    }
+}
+
 /// Returns whether a holder stands for a part that is set aside.
 pub fn is_set_aside(id: &HolderId) -> bool {
     id.instance.as_str().starts_with(SET_ASIDE_PREFIX)
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -154,6 +154,12 @@
             _ => false,
         };
         if matches {
+            let stored = Ledger::from_bytes(&proposal.ledger.to_bytes().expect("encoded"));
+            assert_eq!(
+                stored.as_ref(),
+                Ok(&proposal.ledger),
+                "what is stored can be read"
+            );
             self.revision.number += 1;
             self.stored = Some((self.revision, proposal.ledger.clone()));
         }
@@ -454,3 +460,22 @@
     );
     assert!(matches!(read("{}"), Err(LedgerError::Malformed(_))));
 }
+
+/// A part is set aside under the name of a holder that had to set aside another part before.
+#[test]
+fn parts_set_aside_twice_under_one_name_can_be_read() {
+    let (own, next) = (holder("i1", 1), holder("i1", 2));
+    let mut ledger = Ledger::in_era(0);
+    ledger.join(&own, &region(0));
+    ledger.claim(&own, Part::one_of(2));
+    ledger.confirm(&own, 0);
+    ledger.begin_era(1);
+    ledger.reclaim(&own, Part::one_of(4));
+    ledger.confirm(&own, 1);
+    ledger.begin_era(2);
+    assert_eq!(ledger.inherit(&next, &region(0)), Part::ZERO);
+    let read = Ledger::from_bytes(&ledger.to_bytes().expect("encoded"));
+    assert_eq!(read, Ok(ledger.clone()));
+    ledger.reclaim(&next, Part::one_of(2));
+    assert_eq!(ledger.part(&next), Part::one_of(2));
+}
