--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -122,22 +122,17 @@
     /// have lately had complete answers here.
     pub fn report(self: &Arc<Self>, at: Duration, mut crash: Crash) {
         let now = self.deps.clock.now();
-        {
+        let cleared: Vec<Suspect> = {
             let mut completions = lock(&self.completions);
-            crash
-                .suspects
-                .retain(|s| !completions.contains(now, s.fingerprint));
-        }
+            let is_cleared = |s: &mut Suspect| completions.contains(now, s.fingerprint);
+            crash.suspects.extract_if(.., is_cleared).collect()
+        };
         metrics::counter!("limpetstand_target_crashes_total").increment(1);
-        let names: Vec<String> = crash
-            .suspects
-            .iter()
-            .map(|s| s.fingerprint.to_string())
-            .collect();
         journal::line("blamed")
             .text("target", crash.target.as_str())
             .value("born", crash.started_unix_ms)
-            .text("suspects", &names.join(","));
+            .text("suspects", &names(&crash.suspects))
+            .text("cleared", &names(&cleared));
         if crash.suspects.is_empty() {
             return;
         }
@@ -453,6 +448,12 @@
     }
 }
 
+/// Lists the fingerprints of suspects.
+fn names(suspects: &[Suspect]) -> String {
+    let names: Vec<String> = suspects.iter().map(|s| s.fingerprint.to_string()).collect();
+    names.join(",")
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
