Judge suspects with answers by what came after their crashes

Cause: a complete answer cleared a suspect for 30 s to 60 s, however long before its first crash its request had begun. An instance left such suspects out of its report, and judges asked for answers without asking when.

Evidence: the three tests of requests that become harmful, and their journals, in which the line `blamed` had the harmful part among the `cleared`.

Now an answer clears the crashes before its request began, and no others. Judges get every suspect, and ask all instances when the requests of the last complete answers began and how long these took. A suspect whose answers are all older than its crashes is judged when a later one would have come, and again without another report. Where suspects have the same crashes, those that were in the fewest requests are condemned rather than all, since parts that everybody shares now tie with the harmful one.

Messages of the kind `blame` change; builds before and after do not read each other's answers about suspects.

--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -15,6 +16,10 @@
 use crate::quarantine::Suspect;
 use crate::target::Framing;
 
+/// Time from the head of an answer to a later part of it from which the target is taken to run the
+/// request well so far; harmful requests crash targets that begin to run them.
+const MIN_RUN_TIME: Duration = Duration::from_secs(1);
+
 /// A request in flight at a target's process.
 pub(super) struct RunningRequest {
     gateway: Arc<Gateway>,
@@ -22,6 +27,9 @@
     process: Process,
     prompt: Vec<PromptPart>,
     suspects: Arc<[Suspect]>,
+    began: Duration,
+    /// When the head of a good answer arrived, until it is known that the answer has gone on.
+    good_since: Option<Duration>,
     /// Whether a complete answer shows that the target can run the request.
     clears: bool,
 }
@@ -29,6 +37,7 @@
 impl RunningRequest {
     /// Creates the record of a request that is sent to a target.
     pub(super) fn new(gateway: Arc<Gateway>, job: &Job, choice: &Choice) -> Self {
+        let began = gateway.clock.now();
         Self {
             gateway,
             request: job.id.clone(),
@@ -39,6 +48,8 @@
             },
             prompt: job.prompt.clone(),
             suspects: Arc::clone(&job.suspects),
+            began,
+            good_since: None,
             clears: false,
         }
     }
@@ -47,12 +58,29 @@
     /// crash.
     pub(super) fn record_head(&mut self, status: StatusCode, framing: Framing) {
         self.clears = status.is_success() && framing != Framing::ConnectionEnd;
+        self.good_since = status.is_success().then(|| self.gateway.clock.now());
+    }
+
+    /// Records that a part of the answer has arrived.
+    pub(super) fn record_progress(&mut self) {
+        let now = self.gateway.clock.now();
+        if self
+            .good_since
+            .take_if(|at| now >= *at + MIN_RUN_TIME)
+            .is_some()
+        {
+            self.gateway
+                .quarantine
+                .record_running(self.began, &self.suspects);
+        }
     }
 
     /// Records that the answer is complete.
     pub(super) fn record_complete(&mut self) {
         if std::mem::take(&mut self.clears) {
-            self.gateway.quarantine.record_complete(&self.suspects);
+            self.gateway
+                .quarantine
+                .record_complete(self.began, &self.suspects);
         }
     }
 
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -160,6 +160,7 @@
                         continue;
                     };
                     self.progress.push(&data);
+                    self.running.record_progress();
                     if self.progress.has_whole_length() {
                         self.running.record_complete();
                     }
--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -1,9 +1,10 @@
 //! Decides which requests and prompt parts crash targets, from the crashes of all instances.
 //!
 //! A suspect is condemned if several processes crashed one after the other while they ran it and no
-//! instance has lately received a complete answer to it. What other requests share with a harmful
-//! one is also in flight at its crashes; complete answers and the crashes that the harmful suspect
-//! explains clear it.
+//! request that began after the crashes has had a complete answer. A suspect with earlier answers
+//! may have become harmful since, so it is judged like any other once answers to later requests
+//! would have come. What other requests share with a harmful one is also in flight at its crashes;
+//! complete answers and the crashes that the harmful suspect explains clear it.
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -31,13 +32,21 @@
 const MAX_CRASHES: usize = 256;
 
 /// Maximum number of suspects of one crash.
-pub const MAX_SUSPECTS: usize = 256;
+pub const MAX_SUSPECTS: usize = 512;
 
 /// Maximum number of suspects that instances are asked about at once.
-const MAX_CHECKED: usize = 64;
+const MAX_CHECKED: usize = 256;
 
-/// How long a suspect with a complete answer is not blamed again.
-const SOUND_MEMORY: Duration = Duration::from_secs(10);
+/// Shortest time for which a suspect that had answers before its crashes is given to have another:
+/// crashed targets come back within some seconds.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Longest time for which a suspect that had answers before its crashes is given to have another.
+const MAX_PATIENCE: Duration = Duration::from_secs(4);
+
+/// The same for a suspect to which a target has begun to answer well since its first crash: long
+/// answers to sound suspects take their time.
+const MAX_PATIENCE_RUNNING: Duration = Duration::from_secs(20);
 
 /// A condemned suspect needs to have been in flight at one of this many crashes since its first.
 const MIN_SHARE_OF_CRASHES: usize = 4;
@@ -62,6 +71,58 @@
     pub crashes: usize,
 }
 
+/// A complete answer to a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CompleteAnswer {
+    /// When the request was sent to its target.
+    pub began: Duration,
+    /// How long the target took for the answer.
+    pub took: Duration,
+}
+
+/// The answers to a suspect whose requests began last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Answers {
+    /// The complete one.
+    pub complete: Option<CompleteAnswer>,
+    /// When the request began whose answer has gone on for some time, complete or not.
+    pub running: Option<Duration>,
+}
+
+impl Answers {
+    /// Keeps of both what began last.
+    pub fn merge(&mut self, other: Self) {
+        if self.complete.map(|a| a.began) < other.complete.map(|a| a.began) {
+            self.complete = other.complete;
+        }
+        self.running = self.running.max(other.running);
+    }
+
+    /// Tells whether a request that began at `crash` or later has had a complete answer.
+    fn clear(self, crash: Duration) -> bool {
+        self.complete.is_some_and(|a| a.began >= crash)
+    }
+
+    /// Returns how long a suspect whose first crash was at `crash` is given to have another answer.
+    fn patience(self, crash: Duration) -> Duration {
+        let Some(complete) = self.complete else {
+            return Duration::ZERO;
+        };
+        let is_running = self.running.is_some_and(|began| began >= crash);
+        let max = if is_running {
+            MAX_PATIENCE_RUNNING
+        } else {
+            MAX_PATIENCE
+        };
+        (complete.took * 2).clamp(MIN_PATIENCE, max)
+    }
+
+    /// Tells whether a request began at `time` or later.
+    fn are_since(self, time: Duration) -> bool {
+        self.complete.map(|a| a.began).max(self.running) >= Some(time)
+    }
+}
+
 #[derive(Debug)]
 struct KnownCrash {
     at: Duration,
@@ -78,6 +139,8 @@
     separate: usize,
     first_at: Duration,
     last_at: Option<Duration>,
+    /// When the lack of an answer that began after the first crash begins to count.
+    due_at: Duration,
 }
 
 impl Evidence {
@@ -95,13 +158,25 @@
     fn weight(&self) -> (usize, usize) {
         (self.count(), self.crashes.len())
     }
+
+    /// Tells whether `other` is another explanation of this suspect's crashes. An answer may still
+    /// clear one that is not due, unless both are whole requests.
+    fn has_rival(&self, now: Duration, other: &Self) -> bool {
+        let counts = other.due_at <= now || !(self.is_part || other.is_part);
+        counts && !self.crashes.is_disjoint(&other.crashes)
+    }
+
+    /// Tells whether this suspect explains the same crashes by fewer requests than `other`.
+    fn is_narrower(&self, other: &Self) -> bool {
+        self.requests.len() < other.requests.len()
+    }
 }
 
 /// The crashes of the fleet, as far as this instance has been told.
 #[derive(Debug, Default)]
 pub struct Blame {
     crashes: VecDeque<KnownCrash>,
-    sound_until: HashMap<Fingerprint, Duration>,
+    answers: HashMap<Fingerprint, Answers>,
     /// Condemned suspects, until the crashes of requests that were already in flight are over.
     condemned_until: HashMap<Fingerprint, Duration>,
 }
@@ -132,9 +207,9 @@
         self.crashes.push_back(KnownCrash { at, crash });
     }
 
-    /// Records that an instance has lately received a complete answer to a suspect.
-    pub fn record_sound(&mut self, now: Duration, suspect: Fingerprint) {
-        self.sound_until.insert(suspect, now + SOUND_MEMORY);
+    /// Records the answers that an instance has received to a suspect.
+    pub fn record_answers(&mut self, suspect: Fingerprint, answers: Answers) {
+        self.answers.entry(suspect).or_default().merge(answers);
     }
 
     /// Records that a suspect has been condemned here or elsewhere.
@@ -163,14 +238,23 @@
         suspects.into_iter().map(|(_, suspect)| suspect).collect()
     }
 
-    /// Condemns suspects among those that `checked` lists: no instance has lately received a
-    /// complete answer to them, unless [`Blame::record_sound`] says so.
+    /// Returns when suspects are to be judged again, if some with enough crashes are not due yet.
+    pub fn next_due(&self, now: Duration) -> Option<Duration> {
+        let evidence = self.evidence();
+        let pending = evidence
+            .values()
+            .filter(|own| own.due_at > now && own.count() >= CRASHES_TO_CONDEMN);
+        pending.map(|own| own.due_at).min()
+    }
+
+    /// Condemns suspects among those that `checked` lists: the answers that instances have lately received
+    /// to them are known from [`Blame::record_answers`].
     pub fn condemn(&mut self, now: Duration, checked: &[Fingerprint]) -> Vec<Condemned> {
         self.expire(now);
         let mut condemned = Vec::new();
         loop {
             let evidence = self.evidence();
-            let found = self.find_culprits(&evidence, checked);
+            let found = self.find_culprits(now, &evidence, checked);
             if found.is_empty() {
                 return condemned;
             }
@@ -183,6 +267,7 @@
 
     fn find_culprits(
         &self,
+        now: Duration,
         evidence: &HashMap<Fingerprint, Evidence>,
         checked: &[Fingerprint],
     ) -> Vec<Condemned> {
@@ -192,20 +277,17 @@
                 continue;
             };
             let count = own.count();
-            if count < CRASHES_TO_CONDEMN || !self.has_share_of_crashes(own) {
+            if count < CRASHES_TO_CONDEMN || own.due_at > now || !self.has_share_of_crashes(own) {
                 continue;
             }
-            let mut rivals = evidence
-                .iter()
-                .filter(|(rival, other)| {
-                    *rival != fingerprint && !own.crashes.is_disjoint(&other.crashes)
-                })
-                .map(|(_, other)| other.weight());
             let weight = own.weight();
+            let mut rivals = evidence.iter().filter(|(rival, other)| {
+                *rival != fingerprint && own.has_rival(now, other) && other.weight() >= weight
+            });
             let is_ahead = if count >= CRASHES_TO_CONDEMN_TIED {
-                rivals.all(|rival| rival <= weight)
+                rivals.all(|(_, rival)| rival.weight() == weight && !rival.is_narrower(own))
             } else {
-                rivals.all(|rival| rival < weight)
+                rivals.next().is_none()
             };
             if is_ahead {
                 found.push(Condemned {
@@ -228,11 +310,12 @@
     }
 
     /// Tells whether a condemned suspect explains a crash in which another was in flight. A
-    /// condemned request may crash targets for one of its parts, so it does not clear them.
-    fn is_explained(&self, known: &KnownCrash, other: &Suspect) -> bool {
+    /// condemned request may crash targets for one of its parts, so it does not clear them, unless
+    /// they had answers.
+    fn is_explained(&self, known: &KnownCrash, other: &Suspect, had_answers: bool) -> bool {
         let mut suspects = known.crash.suspects.iter();
         suspects.any(|s| {
-            (s.is_part || s.request != other.request)
+            (s.is_part || s.request != other.request || had_answers)
                 && self.condemned_until.contains_key(&s.fingerprint)
         })
     }
@@ -249,9 +332,11 @@
         let mut evidence: HashMap<Fingerprint, Evidence> = HashMap::new();
         for (index, known) in in_order {
             for suspect in &known.crash.suspects {
-                if self.sound_until.contains_key(&suspect.fingerprint)
+                let answers = self.answers.get(&suspect.fingerprint);
+                let answers = answers.copied().unwrap_or_default();
+                if answers.clear(known.at)
                     || self.condemned_until.contains_key(&suspect.fingerprint)
-                    || self.is_explained(known, suspect)
+                    || self.is_explained(known, suspect, answers.complete.is_some())
                 {
                     continue;
                 }
@@ -259,6 +344,7 @@
                 if own.last_at.is_none() {
                     own.first_at = known.at;
                     own.is_part = suspect.is_part;
+                    own.due_at = known.at + answers.patience(known.at);
                 }
                 own.requests.insert(suspect.request);
                 if !own.crashes.insert(index) {
@@ -278,7 +364,8 @@
 
     fn expire(&mut self, now: Duration) {
         self.crashes.retain(|known| known.at + CRASH_MEMORY > now);
-        self.sound_until.retain(|_, until| *until > now);
+        let forgotten = now.saturating_sub(CRASH_MEMORY);
+        self.answers.retain(|_, a| a.are_since(forgotten));
         self.condemned_until.retain(|_, until| *until > now);
     }
 }
--- a/src/quarantine/message.rs
+++ b/src/quarantine/message.rs
@@ -5,14 +5,14 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use super::blame::{Crash, MAX_SUSPECTS};
+use super::blame::{Answers, CompleteAnswer, Crash, MAX_SUSPECTS};
 use super::{Fingerprint, Suspect};
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Message {
     /// A process has crashed.
     Report(WireCrash),
-    /// Asks which of these have lately had complete answers.
+    /// Asks for the latest answers to these.
     Check(Vec<u128>),
     /// These are quarantined.
     Quarantined {
@@ -27,7 +27,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Reply {
     Done,
-    Sound(Vec<u128>),
+    Answers(Vec<WireAnswers>),
     List(Vec<WireQuarantine>),
 }
 
@@ -40,6 +40,39 @@
     suspects: Vec<(u128, u64, bool)>,
 }
 
+/// The latest answers to a suspect.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct WireAnswers {
+    pub(super) fingerprint: u128,
+    /// How long ago the request of the complete one began, and how long it took.
+    complete_ms: Option<(u64, u64)>,
+    /// How long ago the request began whose answer has gone on for some time.
+    running_ms: Option<u64>,
+}
+
+impl WireAnswers {
+    pub(super) fn new(now: Duration, fingerprint: Fingerprint, answers: Answers) -> Self {
+        let age = |began| to_ms(now.saturating_sub(began));
+        Self {
+            fingerprint: fingerprint.0,
+            complete_ms: answers.complete.map(|a| (age(a.began), to_ms(a.took))),
+            running_ms: answers.running.map(age),
+        }
+    }
+
+    /// Returns the answers on the clock of the receiver.
+    pub(super) fn answers(self, now: Duration) -> Answers {
+        let began = |age| now.saturating_sub(Duration::from_millis(age));
+        Answers {
+            complete: self.complete_ms.map(|(age, took)| CompleteAnswer {
+                began: began(age),
+                took: Duration::from_millis(took),
+            }),
+            running: self.running_ms.map(began),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(super) struct WireQuarantine {
     pub(super) fingerprint: u128,
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -14,11 +14,11 @@
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use super::blame::{Blame, Condemned, Crash};
+use super::blame::{Answers, Blame, Condemned, Crash};
 use super::completions::Completions;
-use super::message::{Message, Reply, WireCrash, WireQuarantine, to_ms};
+use super::message::{Message, Reply, WireAnswers, WireCrash, WireQuarantine, to_ms};
 use super::{Fingerprint, Quarantine, QuarantineStatus, Suspect};
 use crate::clock::Clock;
 use crate::id::{InstanceId, RegionId};
@@ -113,26 +113,27 @@
         None
     }
 
-    /// Records a complete answer to a request.
-    pub fn record_complete(&self, suspects: &[Suspect]) {
-        lock(&self.completions).record(self.deps.clock.now(), suspects);
+    /// Records a complete answer to a request that was sent to its target at `began`.
+    pub fn record_complete(&self, began: Duration, suspects: &[Suspect]) {
+        let now = self.deps.clock.now();
+        lock(&self.completions).record_complete(now, began, suspects);
     }
 
-    /// Reports to the judges that a process crashed at `at`, after leaving out the suspects that
-    /// have lately had complete answers here.
-    pub fn report(self: &Arc<Self>, at: Duration, mut crash: Crash) {
+    /// Records that the answer to a request that was sent to its target at `began` has gone on for
+    /// some time.
+    pub fn record_running(&self, began: Duration, suspects: &[Suspect]) {
+        let now = self.deps.clock.now();
+        lock(&self.completions).record_running(now, began, suspects);
+    }
+
+    /// Reports to the judges that a process crashed at `at`.
+    pub fn report(self: &Arc<Self>, at: Duration, crash: Crash) {
         let now = self.deps.clock.now();
-        let cleared: Vec<Suspect> = {
-            let mut completions = lock(&self.completions);
-            let is_cleared = |s: &mut Suspect| completions.contains(now, s.fingerprint);
-            crash.suspects.extract_if(.., is_cleared).collect()
-        };
         metrics::counter!("limpetstand_target_crashes_total").increment(1);
         journal::line("blamed")
             .text("target", crash.target.as_str())
             .value("born", crash.started_unix_ms)
-            .text("suspects", &names(&crash.suspects))
-            .text("cleared", &names(&cleared));
+            .text("suspects", &names(&crash.suspects));
         if crash.suspects.is_empty() {
             return;
         }
@@ -187,8 +188,9 @@
         let _ = self.reported.try_send(());
     }
 
-    /// Condemns suspects, after asking all instances for complete answers.
-    async fn judge(self: &Arc<Self>) {
+    /// Condemns suspects, after asking all instances for complete answers. Returns the time until
+    /// others are to be judged, if no crash is reported before.
+    async fn judge(self: &Arc<Self>) -> Option<Duration> {
         let checked = {
             let now = self.deps.clock.now();
             let mut checked = lock(&self.blame).to_check(now);
@@ -202,32 +204,38 @@
             checked
         };
         if checked.is_empty() {
-            return;
+            return None;
         }
-        let sound = self.find_sound(&checked).await;
+        let answered = self.find_answers(&checked).await;
         let now = self.deps.clock.now();
-        let condemned = {
+        let (condemned, next_due) = {
             let mut blame = lock(&self.blame);
-            for suspect in &sound {
-                blame.record_sound(now, *suspect);
+            for (suspect, answers) in &answered {
+                blame.record_answers(*suspect, *answers);
             }
-            blame.condemn(now, &checked)
+            (blame.condemn(now, &checked), blame.next_due(now))
         };
+        let next = next_due.map(|due| due.saturating_sub(now));
         journal::line("judged")
             .value("suspects", checked.len())
-            .value("sound", sound.len())
-            .value("condemned", condemned.len());
+            .value("answered", answered.len())
+            .value("condemned", condemned.len())
+            .value(
+                "again_in_ms",
+                next.map_or("null".to_owned(), |n| to_ms(n).to_string()),
+            );
         if !condemned.is_empty() {
             self.quarantine(now, &condemned);
         }
+        next
     }
 
-    /// Returns the suspects to which any instance has lately received a complete answer.
-    async fn find_sound(&self, suspects: &[Fingerprint]) -> Vec<Fingerprint> {
-        let mut sound = self.completed(suspects.iter().copied());
+    /// Returns the answers that instances have lately received to suspects.
+    async fn find_answers(&self, suspects: &[Fingerprint]) -> Vec<(Fingerprint, Answers)> {
+        let mut found = self.answered(suspects.iter().copied());
         let message = Message::Check(suspects.iter().map(|s| s.0).collect());
         let Ok(body) = encode(&message) else {
-            return sound;
+            return found;
         };
         let fleet = Arc::clone(&self.deps.fleet.borrow());
         let mut questions = Vec::new();
@@ -240,20 +248,23 @@
         }
         for answer in join_all(questions).await {
             // Instances that do not answer are left out, so that a judge is not held up.
-            let Some(Reply::Sound(list)) = answer.ok().and_then(|a| decode(&a).ok()) else {
+            let Some(Reply::Answers(list)) = answer.ok().and_then(|a| decode(&a).ok()) else {
                 continue;
             };
-            sound.extend(list.into_iter().map(Fingerprint));
+            let now = self.deps.clock.now();
+            let answers = list
+                .iter()
+                .map(|w| (Fingerprint(w.fingerprint), w.answers(now)));
+            found.extend(answers);
         }
-        sound
+        found
     }
 
-    fn completed(&self, suspects: impl Iterator<Item = Fingerprint>) -> Vec<Fingerprint> {
+    fn answered(&self, suspects: impl Iterator<Item = Fingerprint>) -> Vec<(Fingerprint, Answers)> {
         let now = self.deps.clock.now();
         let mut completions = lock(&self.completions);
-        suspects
-            .filter(|suspect| completions.contains(now, *suspect))
-            .collect()
+        let answered = suspects.map(|suspect| (suspect, completions.get(now, suspect)));
+        answered.filter(|(_, a)| *a != Answers::default()).collect()
     }
 
     fn quarantine(self: &Arc<Self>, now: Duration, condemned: &[Condemned]) {
@@ -385,12 +396,20 @@
 }
 
 async fn judge_reports(service: Weak<QuarantineService>, mut reports: mpsc::Receiver<()>) {
-    while reports.recv().await.is_some() {
+    let mut next: Option<Duration> = None;
+    loop {
+        let report = match next {
+            Some(pause) => timeout(pause, reports.recv()).await.unwrap_or(Some(())),
+            None => reports.recv().await,
+        };
+        if report.is_none() {
+            return;
+        }
         sleep(REPORT_COLLECTION_TIME).await;
         let Some(service) = service.upgrade() else {
             return;
         };
-        service.judge().await;
+        next = service.judge().await;
     }
 }
 
@@ -432,8 +451,9 @@
                 Reply::Done
             }
             Message::Check(suspects) => {
-                let sound = service.completed(suspects.into_iter().map(Fingerprint));
-                Reply::Sound(sound.into_iter().map(|s| s.0).collect())
+                let found = service.answered(suspects.into_iter().map(Fingerprint));
+                let wire = found.into_iter().map(|(s, a)| WireAnswers::new(now, s, a));
+                Reply::Answers(wire.collect())
             }
             Message::Quarantined { list, spread } => {
                 service.learn(now, &list);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -7,7 +7,9 @@
 
 use std::time::Duration;
 
-use limpetstand::quarantine::blame::{Blame, CRASHES_TO_CONDEMN, CRASHES_TO_CONDEMN_TIED, Crash};
+use limpetstand::quarantine::blame::{
+    Answers, Blame, CRASHES_TO_CONDEMN, CRASHES_TO_CONDEMN_TIED, CompleteAnswer, Crash,
+};
 use limpetstand::quarantine::completions::Completions;
 use limpetstand::quarantine::{Fingerprint, Suspect};
 use proptest::prelude::*;
@@ -41,7 +43,21 @@
     }
 }
 
-/// Records crashes at their times; returns what is condemned if `sound` are known to be sound.
+/// A complete answer to a request that began at a time, and how long it took.
+fn complete(began: Duration, took: Duration) -> Answers {
+    Answers {
+        complete: Some(CompleteAnswer { began, took }),
+        running: None,
+    }
+}
+
+/// A complete answer that took 100 ms.
+fn answer(began: Duration) -> Answers {
+    complete(began, ms(100))
+}
+
+/// Records crashes at their times; returns what is condemned if each crash is followed by requests
+/// with `sound` that have complete answers.
 fn condemned(crashes: Vec<(Duration, Vec<Suspect>)>, sound: &[Fingerprint]) -> Vec<Fingerprint> {
     let mut blame = Blame::default();
     let mut condemned = Vec::new();
@@ -50,7 +66,7 @@
         let checked = blame.to_check(at);
         for suspect in sound {
             if checked.contains(suspect) {
-                blame.record_sound(at, *suspect);
+                blame.record_answers(*suspect, answer(at));
             }
         }
         for culprit in blame.condemn(at, &checked) {
@@ -153,19 +169,168 @@
 #[test]
 fn completions_are_remembered_for_a_limited_time() {
     let mut completions = Completions::default();
-    completions.record(ms(0), &request(1, &[FIRST]));
+    completions.record_complete(ms(0), ms(0), &request(1, &[FIRST]));
     for at in [ms(0), ms(29_999), ms(30_001)] {
-        assert!(completions.contains(at, part(FIRST)), "{at:?}");
+        assert!(
+            completions.get(at, part(FIRST)).complete.is_some(),
+            "{at:?}"
+        );
     }
-    assert!(!completions.contains(ms(60_001), part(FIRST)));
-    completions.record(ms(70_000), &request(1, &[FIRST]));
-    assert!(!completions.contains(ms(200_000), part(FIRST)));
+    assert_eq!(completions.get(ms(60_001), part(FIRST)), Answers::default());
+    completions.record_complete(ms(70_000), ms(70_000), &request(1, &[FIRST]));
+    assert_eq!(
+        completions.get(ms(200_000), part(FIRST)),
+        Answers::default()
+    );
     // Requests do not displace parts.
-    completions.record(ms(200_000), &request(1, &[FIRST]));
+    completions.record_complete(ms(200_000), ms(200_000), &request(1, &[FIRST]));
     for n in 0..50_000 {
-        completions.record(ms(200_001), &request(n, &[]));
+        completions.record_complete(ms(200_001), ms(200_001), &request(n, &[]));
+    }
+    assert!(completions.get(ms(200_002), part(FIRST)).complete.is_some());
+}
+
+#[test]
+fn the_answer_whose_request_began_last_is_remembered() {
+    let mut completions = Completions::default();
+    let long = request(1, &[FIRST]);
+    completions.record_complete(ms(3_000), ms(2_900), &request(2, &[FIRST]));
+    completions.record_complete(ms(4_000), ms(1_000), &long);
+    assert_eq!(completions.get(ms(4_000), part(FIRST)), answer(ms(2_900)));
+    let own = completions.get(ms(4_000), long[0].fingerprint);
+    assert_eq!(own, complete(ms(1_000), ms(3_000)));
+    completions.record_running(ms(6_000), ms(4_500), &request(3, &[FIRST]));
+    assert_eq!(
+        completions.get(ms(6_000), part(FIRST)),
+        Answers {
+            running: Some(ms(4_500)),
+            ..answer(ms(2_900))
+        }
+    );
+}
+
+#[test]
+fn an_answer_clears_only_crashes_before_its_request_began() {
+    let mut blame = Blame::default();
+    let checked = [part(HARMFUL)];
+    for n in 0..3 {
+        let at = ms(n * 1_000);
+        blame.record(at, at, crash(n, request(n, &[HARMFUL])));
+    }
+    blame.record_answers(part(HARMFUL), answer(ms(1_500)));
+    assert_eq!(blame.condemn(ms(10_000), &checked), []);
+    for n in 3..5 {
+        let at = ms(n * 1_000);
+        blame.record(at, at, crash(n, request(n, &[HARMFUL])));
     }
-    assert!(completions.contains(ms(200_002), part(FIRST)));
+    let found = blame.condemn(ms(10_000), &checked);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].crashes, 3);
+}
+
+#[test]
+fn a_suspect_with_answers_before_its_crashes_is_given_time_for_another() {
+    // The last of these has begun to answer well since the first crash.
+    for (took, running, due) in [
+        (100, 0, 2_000),
+        (1_500, 0, 3_000),
+        (9_000, 0, 4_000),
+        (9_000, 20_500, 18_000),
+    ] {
+        let mut blame = Blame::default();
+        for n in 0..3 {
+            let at = ms(20_000 + n * 300);
+            blame.record(at, at, crash(n, request(n, &[HARMFUL])));
+        }
+        let answers = Answers {
+            running: Some(ms(running)),
+            ..complete(ms(10_000), ms(took))
+        };
+        blame.record_answers(part(HARMFUL), answers);
+        let due = ms(20_000 + due);
+        assert_eq!(blame.next_due(ms(20_700)), Some(due));
+        assert_eq!(blame.condemn(due - ms(1), &[part(HARMFUL)]), []);
+        assert_eq!(blame.condemn(due, &[part(HARMFUL)]).len(), 1);
+        assert_eq!(blame.next_due(due), None);
+    }
+}
+
+#[test]
+fn a_harmful_part_is_condemned_before_parts_with_answers_are_judged() {
+    let mut blame = Blame::default();
+    blame.record_answers(part(FIRST), answer(ms(0)));
+    for n in 0..3 {
+        let at = ms(1_000 + n * 300);
+        blame.record(at, at, crash(n, request(n, &[FIRST, HARMFUL])));
+    }
+    let checked = blame.to_check(ms(1_700));
+    let found = blame.condemn(ms(1_700), &checked);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].fingerprint, part(HARMFUL));
+    assert_eq!(blame.condemn(ms(60_000), &checked), []);
+}
+
+#[test]
+fn a_request_without_an_answer_is_not_condemned_for_one_that_has_become_harmful() {
+    let mut blame = Blame::default();
+    let harmful = request(7, &[]);
+    blame.record_answers(harmful[0].fingerprint, answer(ms(0)));
+    let mut checked = Vec::new();
+    for n in 0..5 {
+        let at = ms(1_000 + n * 300);
+        let mut suspects = harmful.clone();
+        if n >= 1 {
+            suspects.extend(request(8, &[]));
+        }
+        blame.record(at, at, crash(n, suspects));
+        checked = blame.to_check(at);
+        assert_eq!(blame.condemn(at, &checked), []);
+    }
+    let found = blame.condemn(ms(3_000), &checked);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].fingerprint, harmful[0].fingerprint);
+}
+
+#[test]
+fn a_harmful_request_is_condemned_before_the_parts_that_it_shares() {
+    let mut blame = Blame::default();
+    let mut checked = Vec::new();
+    for n in 0..6 {
+        let at = ms(1_000 + n * 400);
+        let mut suspects = request(7, &[FIRST, 3]);
+        suspects.extend(request(10 + n, &[FIRST, 3]));
+        blame.record(at, at, crash(n, suspects));
+        checked = blame.to_check(at);
+    }
+    for suspect in [part(FIRST), part(3), request(7, &[])[0].fingerprint] {
+        blame.record_answers(suspect, answer(ms(0)));
+    }
+    let found = blame.condemn(ms(9_000), &checked);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].fingerprint, request(7, &[])[0].fingerprint);
+}
+
+#[test]
+fn parts_with_answers_are_not_condemned_for_a_harmful_request_that_has_them() {
+    let mut blame = Blame::default();
+    let whole = request(7, &[])[0].fingerprint;
+    for id in [FIRST, 3] {
+        blame.record_answers(part(id), answer(ms(0)));
+    }
+    let mut condemned = Vec::new();
+    for n in 0..8 {
+        let at = ms(1_000 + n * 300);
+        // The last part of the prompt is another one each time.
+        let prompt = [FIRST, 3, 2_000_000 + n];
+        let suspects = Suspect::of_request(whole, SERVICE, &prompt);
+        blame.record(at, at, crash(n, suspects));
+        let checked = blame.to_check(at);
+        condemned.extend(blame.condemn(at, &checked));
+    }
+    let checked = blame.to_check(ms(9_000));
+    condemned.extend(blame.condemn(ms(9_000), &checked));
+    let found: Vec<Fingerprint> = condemned.iter().map(|c| c.fingerprint).collect();
+    assert_eq!(found, [whole]);
 }
 
 /// Returns requests with some of 40 parts, of which no two have the same last part.
@@ -250,6 +415,47 @@
     }
 }
 
+proptest! {
+    /// A part that had answers becomes harmful. Sound parts that share its crashes have an answer
+    /// now and then; none of them is ever condemned, and the harmful part is once it is due.
+    #[test]
+    fn only_the_part_that_became_harmful_is_condemned(
+        ends in prop::collection::vec((50_u64..800, in_flight(6)), 12..40),
+        answered_each in 300_u64..1_500,
+    ) {
+        let mut blame = Blame::default();
+        let sound: Vec<u64> = (10..50).chain([FIRST]).collect();
+        for id in sound.iter().chain([&HARMFUL]) {
+            blame.record_answers(part(*id), answer(ms(0)));
+        }
+        let (mut at, mut next) = (20_000, 0);
+        let mut condemned = Vec::new();
+        let mut answered_at = at;
+        for (n, (pause, requests)) in (0..).zip(ends) {
+            let mut suspects = request(next, &[FIRST, HARMFUL]);
+            next += 1;
+            for shared in requests {
+                suspects.extend(request(next, &[&[FIRST], &shared[..]].concat()));
+                next += 1;
+            }
+            blame.record(ms(at), ms(at), crash(n, suspects));
+            if at >= answered_at + answered_each {
+                answered_at = at;
+                for id in &sound {
+                    blame.record_answers(part(*id), answer(ms(at - 100)));
+                }
+            }
+            let checked = blame.to_check(ms(at));
+            condemned.extend(blame.condemn(ms(at), &checked));
+            at += pause;
+        }
+        let checked = blame.to_check(ms(at + 4_000));
+        condemned.extend(blame.condemn(ms(at + 4_000), &checked));
+        let found: Vec<Fingerprint> = condemned.iter().map(|c| c.fingerprint).collect();
+        prop_assert_eq!(found, [part(HARMFUL)]);
+    }
+}
+
 /// Returns the number of crashes that are at least 250 ms after the counted one before.
 fn separate_within(crashes: &[(Duration, Vec<Suspect>)]) -> usize {
     let mut last: Option<Duration> = None;
--- a/tests/quarantine/fleet.rs
+++ b/tests/quarantine/fleet.rs
@@ -12,6 +12,7 @@
 use limpetstand::id::RegionId;
 use limpetstand::member::{Fleet, Health, Member};
 use limpetstand::peer::{PeerError, Peers};
+use limpetstand::quarantine::Suspect;
 use limpetstand::quarantine::blame::Crash;
 use limpetstand::quarantine::service::{QuarantineDeps, QuarantineHandler, QuarantineService};
 use limpetstand::refusal::Refusal;
@@ -170,30 +171,52 @@
             let second = self.sound_part();
             let n = self.draw(self.services.len());
             self.next_request += 1;
-            self.services[n].record_complete(&request(self.next_request, &[FIRST, second]));
+            let suspects = request(self.next_request, &[FIRST, second]);
+            self.services[n].record_complete(self.clock.now(), &suspects);
         }
     }
 
-    /// Ends a target of a region under a harmful request and some sound ones.
+    /// Ends a target of a region under a request with the harmful part and some sound ones.
     fn crash(&mut self, in_region: &RegionId) {
+        self.next_request += 1;
+        let harmful = request(self.next_request, &[FIRST, HARMFUL]);
+        self.crash_under(in_region, harmful);
+    }
+
+    /// Ends a target of a region under a harmful request and some sound ones.
+    fn crash_under(&mut self, in_region: &RegionId, harmful: Vec<Suspect>) {
         self.next_target += 1;
-        let mut prompts = vec![vec![FIRST, HARMFUL]];
+        let mut in_flight = vec![harmful];
         for _ in 0..4 {
             let second = self.sound_part();
-            prompts.push(vec![FIRST, second]);
-        }
-        for prompt in prompts {
             self.next_request += 1;
+            in_flight.push(request(self.next_request, &[FIRST, second]));
+        }
+        for suspects in in_flight {
             let crash = Crash {
                 target: format!("t{}", self.next_target).into(),
                 started_unix_ms: 1,
-                suspects: request(self.next_request, &prompt),
+                suspects,
             };
             let n = self.draw_instance(in_region);
             self.services[n].report(self.clock.now(), crash);
         }
     }
 
+    /// Answers a request completely at a random instance.
+    fn complete(&mut self, suspects: &[Suspect]) {
+        let n = self.draw(self.services.len());
+        self.services[n].record_complete(self.clock.now(), suspects);
+    }
+
+    /// Returns the instances that refuse a request as a whole.
+    fn refusing_request(&self, suspects: &[Suspect]) -> usize {
+        let whole = suspects[0].fingerprint;
+        let services = self.services.iter();
+        let refusing = services.filter(|s| s.find(suspects).is_some_and(|found| found.0 == whole));
+        refusing.count()
+    }
+
     /// Returns the instances that refuse requests with a part.
     fn refusing(&self, id: u64) -> Vec<usize> {
         let suspects = request(u64::MAX / 2, &[id]);
@@ -262,6 +285,69 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn all_instances_refuse_a_part_that_becomes_harmful_and_no_sound_one() {
+    for (count, seed) in [(2, 12), (9, 13), (9, 14), (100, 15), (300, 16)] {
+        let mut fleet = TestFleet::start(count, seed);
+        sleep(ms(1_000)).await;
+        for n in 0..20 {
+            fleet.complete_some(40);
+            fleet.complete(&request(1_000_000 + n, &[FIRST, HARMFUL]));
+            sleep(ms(100)).await;
+        }
+        let mut fifth_at = None;
+        for n in 0..20 {
+            let refusing = fleet.refusing(HARMFUL).len();
+            if fifth_at.is_some_and(|at: Instant| at.elapsed() >= CONTACT_TIME) {
+                assert_eq!(refusing, count, "{n} crashes");
+            }
+            if refusing == count {
+                println!("{count} instances: all refuse after {n} crashes");
+                break;
+            }
+            fleet.crash(&region(n % REGIONS.min(count)));
+            if n == 4 {
+                fifth_at = Some(Instant::now());
+            }
+            // Few sound requests are served while targets crash.
+            if n % 4 == 3 {
+                fleet.complete_some(2);
+            }
+            sleep(ms(400)).await;
+        }
+        fleet.wait_until_refused(ms(100), |_| true).await;
+        fleet.check_no_sound_part_is_refused();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_becomes_harmful_is_refused_and_the_parts_that_it_shares_are_not() {
+    for (count, seed) in [(2, 22), (9, 23), (100, 25), (300, 26)] {
+        let mut fleet = TestFleet::start(count, seed);
+        sleep(ms(1_000)).await;
+        let harmful = request(2_000_000, &[FIRST, 101]);
+        for _ in 0..20 {
+            fleet.complete_some(40);
+            fleet.complete(&harmful);
+            sleep(ms(100)).await;
+        }
+        let began = Instant::now();
+        let mut crashes = 0;
+        while fleet.refusing_request(&harmful) < count {
+            assert!(
+                began.elapsed() < CONTACT_TIME + ms(1_000),
+                "{crashes} crashes"
+            );
+            fleet.crash_under(&region(crashes % REGIONS.min(count)), harmful.clone());
+            crashes += 1;
+            sleep(ms(400)).await;
+        }
+        println!("{count} instances: all refuse after {crashes} crashes");
+        sleep(ms(8_000)).await;
+        fleet.check_no_sound_part_is_refused();
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_instance_that_starts_later_refuses_a_harmful_part_within_seconds() {
     let mut fleet = TestFleet::start(9, 7);
