--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -51,6 +51,7 @@
 pub mod settings;
 mod source;
 mod target_attempt;
+pub mod target_limits;
 mod target_stream;
 pub mod tolerance;
 mod upstream;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -122,6 +122,15 @@
     Malformed(SmolStr),
 }
 
+/// The request rate that a target names in its answers.
+#[derive(Debug, Clone, PartialEq)]
+pub enum NamedRate {
+    /// Requests per second that the target takes from all instances together.
+    PerSecond(f64),
+    /// The header is malformed.
+    Malformed(SmolStr),
+}
+
 /// The information in the head of a target's response.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseHead {
@@ -137,6 +146,8 @@
     pub leaving: bool,
     /// When the target, which turns requests away for now, wants the next one.
     pub retry_after: Option<RetryAfter>,
+    /// The request rate that the target, which is in need, names for now.
+    pub rate: Option<NamedRate>,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -15,6 +15,7 @@
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
 use super::scheduler::TAKEOVER_TIME;
+use super::target_limits::{ProcessKey, TargetLimits};
 use super::warmup::{self, RecentSends};
 use super::withdrawal::{QuietEnd, Withdrawals};
 use crate::id::{RegionId, TargetId};
@@ -155,6 +156,13 @@
     pub ms_per_token: f64,
 }
 
+impl Choice {
+    /// Returns the process that was chosen.
+    pub fn process(&self) -> ProcessKey {
+        (self.id.clone(), self.known.entry.started_unix_ms)
+    }
+}
+
 impl Prefill {
     /// Returns the time that a target is expected to need for the prefill of prompt tokens.
     pub fn time(self, tokens: u64) -> Duration {
@@ -172,6 +180,7 @@
     prefill: Prefill,
     states: HashMap<TargetId, TargetState>,
     withdrawals: Withdrawals,
+    limits: TargetLimits,
 }
 
 impl Pool {
@@ -181,6 +190,7 @@
             prefill,
             states: HashMap::new(),
             withdrawals: Withdrawals::default(),
+            limits: TargetLimits::default(),
         }
     }
 
@@ -398,6 +408,11 @@
         &mut self.withdrawals
     }
 
+    /// The request rates that targets have named.
+    pub fn limits(&mut self) -> &mut TargetLimits {
+        &mut self.limits
+    }
+
     /// Returns whether the process of a chosen target still takes requests.
     pub fn takes_requests(&self, now: Duration, choice: &Choice) -> bool {
         let started = choice.known.entry.started_unix_ms;
@@ -435,6 +450,10 @@
             let listed = view.targets.get(id)?;
             Some(listed.entry.started_unix_ms)
         });
+        self.limits.expire(now, |(id, started)| {
+            let listed = view.targets.get(id);
+            listed.is_some_and(|known| known.entry.started_unix_ms == *started)
+        });
         self.states
             .retain(|id, state| state.in_flight > 0 || view.targets.contains_key(id));
     }
--- a/src/gateway/running.rs
+++ b/src/gateway/running.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns when the request was sent.
+    pub(super) fn began(&self) -> Duration {
+        self.began
+    }
+
     /// Records the head of the answer. The end of an answer that ends with its connection may be a
     /// crash.
     pub(super) fn record_head(&mut self, status: StatusCode, framing: Framing) {
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -13,7 +13,7 @@
 use super::Gateway;
 use super::attempt_timeout;
 use super::attempts::{format_ms, from_millis, strip_hop_by_hop_headers, to_millis};
-use super::dialect::{ResponseHead, RetryAfter, TargetHeaders};
+use super::dialect::{NamedRate, ResponseHead, RetryAfter, TargetHeaders};
 use super::job::{Job, Reply};
 use super::late::{LateAttempt, PendingHead};
 use super::placement::Place;
@@ -187,6 +187,7 @@
             return Err(AttemptError::NotRun("the target has gone".to_owned()));
         }
         self.record_withdrawal(job, choice, &response_head, &request_guard);
+        self.record_rate(job, choice, response_head.rate.as_ref(), running.began());
         if response_head.not_run {
             return Err(AttemptError::NotRun(format!(
                 "the target is full: {}",
@@ -306,6 +307,37 @@
         }
     }
 
+    /// Records the rate that an answer names, to a request sent at `sent_at`.
+    fn record_rate(&self, job: &Job, choice: &Choice, rate: Option<&NamedRate>, sent_at: Duration) {
+        let now = self.clock.now();
+        let process = choice.process();
+        let named = match rate {
+            Some(NamedRate::PerSecond(per_s)) => Some(*per_s),
+            Some(NamedRate::Malformed(text)) => {
+                journal::line("target_limit")
+                    .text("request", &job.id)
+                    .text("target", choice.id.as_str())
+                    .value("born", process.1)
+                    .text("malformed", text);
+                return;
+            }
+            None => None,
+        };
+        let limit = self
+            .pool()
+            .limits()
+            .record_answer(now, &process, named, sent_at);
+        let Some(limit) = limit else {
+            return;
+        };
+        metrics::counter!("limpetstand_target_limits_total").increment(1);
+        journal::line("target_limit")
+            .text("request", &job.id)
+            .text("target", choice.id.as_str())
+            .value("born", process.1)
+            .value("per_s", format_rate(limit.per_s));
+    }
+
     /// Builds the request to a target.
     fn build_request(
         &self,
@@ -360,6 +392,11 @@
     Some(response_head.keep_alive)
 }
 
+/// Formats a rate as a JSON number, or as `null` if there is no limit.
+pub(super) fn format_rate(per_s: Option<f64>) -> String {
+    per_s.map_or_else(|| "null".to_owned(), |per_s| per_s.to_string())
+}
+
 /// Tells whether callers take a status to mean that the request did not run.
 fn implies_not_run(status: http::StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
