Keep to the request rates that targets name

The choice of a target knew load, backlog, failures, quiet and warm-up, but not a rate that a target names itself.

Now the scheduler of a target gives the times at which requests may be sent to it, and the wait for such a time counts as a wait at the target: so placement, load shedding, other regions and `Retry-After` treat it like any other wait. Prompts get the time with their place; other requests ask for it. What a target has said last is told in the region like a withdrawal, with the age of the answer, and askers repeat it to the scheduler, which may have just started. A new scheduler waits 2 s, as with cold targets.

A retry that finds only overloaded targets now ends with the failure of its last attempt. Such retries were not refused for a wait before, and "not run" would not be true of them.

Messages of the kinds `place`, `withdrawn` and `view` change; builds before and after do not read each other's.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,6 +48,7 @@
 mod run;
 mod running;
 pub mod scheduler;
+mod send_time;
 pub mod settings;
 mod source;
 mod target_attempt;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -19,6 +19,7 @@
 use super::pool::{Choice, Pool, TargetQuery};
 use super::region;
 use super::target_attempt::AttemptError;
+use super::target_limits::{LimitedTargets, MAX_SEND_DELAY};
 use super::withdrawal::QuietEnd;
 use crate::id::{RegionId, TargetId};
 use crate::journal;
@@ -44,6 +45,9 @@
 /// long.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Number of targets with limits whose schedulers are asked before a request is refused.
+const MAX_TIMES_ASKED: usize = 3;
+
 /// Hop-by-hop headers, which concern a single connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP_HEADERS: [HeaderName; 6] = [
     CONNECTION,
@@ -187,9 +191,12 @@
             };
             let placed = match placed {
                 Placement::Placed(placed) => *placed,
-                Placement::Overloaded(wait_ms) => {
+                Placement::Overloaded(wait_ms) if job.attempts == 0 => {
                     return Err(self.overloaded_failure(job, wait_ms));
                 }
+                Placement::Overloaded(_) => {
+                    return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
+                }
                 Placement::Quiet(quiet) => {
                     let may_wait = !std::mem::replace(&mut waited, true);
                     let wait = quiet.wait(job.max_wait.min(job.time_left()), rand::random());
@@ -214,7 +221,11 @@
                 return Err(failure);
             }
             let attempts = job.attempts;
-            let outcome = match late.race(self.attempt(job, &choice, place)).await {
+            let attempt = async {
+                sleep(choice.send_delay).await;
+                self.attempt(job, &choice, place).await
+            };
+            let outcome = match late.race(attempt).await {
                 Ok(outcome) => outcome,
                 Err(reply) => return Ok(after_cancelled_attempt(reply, attempts)),
             };
@@ -308,15 +319,39 @@
         if is_scheduled(job) {
             return self.place(job, tried).await;
         }
-        let choice = self.query_pool(
-            &job.service,
-            &job.prompt,
-            tried,
-            |pool, now, view, query| {
-                pool.choose_or_quiet(now, view, &self.region, query, rand::random)
-            },
-        );
-        choice.into()
+        for _ in 0..MAX_TIMES_ASKED {
+            let choice = self.query_pool(
+                &job.service,
+                &job.prompt,
+                tried,
+                |pool, now, view, query| {
+                    pool.choose_or_quiet(now, view, &self.region, query, rand::random)
+                },
+            );
+            let mut choice = match choice {
+                Ok(choice) => choice,
+                Err(quiet) => return Err(quiet).into(),
+            };
+            if self.pool().limits().per_s(&choice.process()).is_none() {
+                return Ok(choice).into();
+            }
+            let max_delay = MAX_SEND_DELAY.min(job.max_wait).min(job.time_left());
+            if choice.send_delay > max_delay {
+                return Placement::Overloaded(to_millis(choice.send_delay));
+            }
+            // Another target may suit better if this one does not take the request now.
+            let is_delay_known = !choice.send_delay.is_zero();
+            let max_delay = if is_delay_known {
+                max_delay
+            } else {
+                Duration::ZERO
+            };
+            if let Some(delay) = self.ask_for_send_time(job, &choice, max_delay).await {
+                choice.send_delay = delay;
+                return Ok(choice).into();
+            }
+        }
+        Placement::Overloaded(to_millis(MAX_SEND_DELAY))
     }
 
     /// Calls `run_query` with the pool and a query built from the region's known instances and the
@@ -356,6 +391,7 @@
             instances: &instances,
             warmup,
             owned_since: None,
+            limited: LimitedTargets::Asked,
         };
         run_query(&mut self.pool(), self.clock.now(), &view, &query)
     }
--- a/src/gateway/follow/withdrawals.rs
+++ b/src/gateway/follow/withdrawals.rs
@@ -1,4 +1,5 @@
-//! Tells the listeners of the region which targets have withdrawn, and passes on what they tell.
+//! Tells the listeners of the region which targets have withdrawn or named a limit, and passes on
+//! what they tell.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{Follower, State, millis, whole_millis};
+use crate::gateway::target_limits::{ProcessKey, TargetLimit, WireLimit};
 use crate::gateway::withdrawal_news::{Position, WithdrawalReport};
 use crate::id::{InstanceId, TargetId};
 use crate::journal;
@@ -44,32 +46,34 @@
     started_unix_ms: u64,
     leaving: bool,
     quiet_left_ms: u32,
+    limit: Option<WireLimit>,
     reporter: InstanceId,
     number: u64,
 }
 
-impl From<WithdrawalReport> for WireWithdrawal {
-    fn from(report: WithdrawalReport) -> Self {
+impl WireWithdrawal {
+    fn new(now: Duration, report: WithdrawalReport) -> Self {
         Self {
             target: report.target,
             started_unix_ms: report.started_unix_ms,
             leaving: report.leaving,
             quiet_left_ms: whole_millis(report.quiet_left),
+            limit: report.limit.map(|limit| WireLimit::new(now, limit)),
             reporter: report.reporter,
             number: report.number,
         }
     }
-}
 
-impl From<WireWithdrawal> for WithdrawalReport {
-    fn from(wire: WireWithdrawal) -> Self {
-        Self {
-            target: wire.target,
-            started_unix_ms: wire.started_unix_ms,
-            leaving: wire.leaving,
-            quiet_left: millis(wire.quiet_left_ms),
-            reporter: wire.reporter,
-            number: wire.number,
+    /// Returns the report on the clock of the receiver.
+    fn report(self, now: Duration) -> WithdrawalReport {
+        WithdrawalReport {
+            target: self.target,
+            started_unix_ms: self.started_unix_ms,
+            leaving: self.leaving,
+            quiet_left: millis(self.quiet_left_ms),
+            limit: self.limit.map(|wire| wire.limit(now)),
+            reporter: self.reporter,
+            number: self.number,
         }
     }
 }
@@ -116,6 +120,33 @@
         leaving: bool,
         quiet: Duration,
     ) {
+        self.report(WithdrawalReport {
+            target: target.clone(),
+            started_unix_ms,
+            leaving,
+            quiet_left: quiet,
+            limit: None,
+            reporter: self.deps.id.clone(),
+            number: 0,
+        });
+    }
+
+    /// Records that a target has told this instance that it takes another number of requests than
+    /// before, and lets the region know.
+    pub fn report_limit(&self, process: &ProcessKey, limit: TargetLimit) {
+        self.report(WithdrawalReport {
+            target: process.0.clone(),
+            started_unix_ms: process.1,
+            leaving: false,
+            quiet_left: Duration::ZERO,
+            limit: Some(limit),
+            reporter: self.deps.id.clone(),
+            number: 0,
+        });
+    }
+
+    /// Numbers a report of this instance, and records it.
+    fn report(&self, mut report: WithdrawalReport) {
         let now = self.now();
         let unix_time = SystemTime::now().duration_since(UNIX_EPOCH);
         let unix_ms = unix_time.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX));
@@ -123,14 +154,7 @@
         let State {
             withdrawals, view, ..
         } = &mut *state;
-        let report = WithdrawalReport {
-            target: target.clone(),
-            started_unix_ms,
-            leaving,
-            quiet_left: quiet,
-            reporter: self.deps.id.clone(),
-            number: withdrawals.next_number(unix_ms),
-        };
+        report.number = withdrawals.next_number(unix_ms);
         if withdrawals.report(now, &view.targets, &report) {
             drop(state);
             self.withdrawals_tx.send_modify(|count| *count += 1);
@@ -158,7 +182,7 @@
         let mut is_new = false;
         for report in reports {
             let listed = &state.view.targets;
-            is_new |= state.withdrawals.hear(now, listed, &report.into());
+            is_new |= state.withdrawals.hear(now, listed, &report.report(now));
         }
         if is_new {
             self.withdrawals_tx.send_modify(|count| *count += 1);
@@ -171,10 +195,12 @@
         position: Option<WirePosition>,
     ) -> Option<WireWithdrawals> {
         let position = position.map(Position::from);
-        let (position, reports) = state.withdrawals.changes_since(self.now(), position)?;
+        let now = self.now();
+        let (position, reports) = state.withdrawals.changes_since(now, position)?;
+        let reports = reports.into_iter().map(|r| WireWithdrawal::new(now, r));
         Some(WireWithdrawals {
             position: position.into(),
-            reports: reports.into_iter().map(WireWithdrawal::from).collect(),
+            reports: reports.collect(),
         })
     }
 
@@ -284,7 +310,9 @@
                 addresses.push(member.peer);
             }
         }
-        let wire: Vec<WireWithdrawal> = reports.iter().cloned().map(Into::into).collect();
+        let now = self.now();
+        let wire = reports.iter().cloned().map(|r| WireWithdrawal::new(now, r));
+        let wire: Vec<WireWithdrawal> = wire.collect();
         let body = match encode(&wire) {
             Ok(body) => body,
             Err(e) => {
@@ -327,7 +355,9 @@
         let reports = decode(&body)?;
         self.0.hear(&mut self.0.state(), reports);
         let (_, known) = self.0.withdrawals_after(0);
-        let known: Vec<WireWithdrawal> = known.into_iter().map(Into::into).collect();
+        let now = self.0.now();
+        let known = known.into_iter().map(|r| WireWithdrawal::new(now, r));
+        let known: Vec<WireWithdrawal> = known.collect();
         encode(&known)
     }
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -19,6 +19,7 @@
 use super::platform_view::PlatformView;
 use super::pool::{self, Choice, TargetEvent, TargetQuery};
 use super::scheduler::{Scheduler, scheduler_of, schedulers};
+use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
 use super::withdrawal::QuietEnd;
 use super::{Gateway, lock};
 use crate::id::{InstanceId, RegionId, TargetId};
@@ -60,6 +61,9 @@
     /// Longest wait with which the request takes a place; `None` for any.
     max_wait_ms: Option<f64>,
     time_left_ms: u64,
+    /// The limits that the service's targets have named, as the sender knows them. A scheduler that
+    /// has just started may not.
+    limits: Vec<(ProcessKey, WireLimit)>,
 }
 
 /// The answer to a request for a place.
@@ -71,6 +75,8 @@
         wait_ms: f64,
         cost_ms: f64,
         ejected: bool,
+        /// How long the request has to be held back for the limit that the target has named.
+        send_delay_ms: u32,
     },
     /// Every target would keep the request waiting for too long; the shortest wait.
     Overloaded(f64),
@@ -359,7 +365,7 @@
         let mut quiet: Option<QuietEnd> = None;
         while let Some((id, address)) = self.next_scheduler(job, tried, &asked) {
             let (place, scheduler) = if id == self.id {
-                (Some(self.place_here(&place_request(job, tried))), None)
+                (Some(self.place_here(&self.place_request(job, tried))), None)
             } else {
                 let place = self.ask_for_place(job, tried, &id, address).await;
                 (place, Some(address))
@@ -372,6 +378,7 @@
                     wait_ms,
                     cost_ms,
                     ejected,
+                    send_delay_ms,
                 }) => {
                     let place = Place {
                         gateway: Arc::clone(self),
@@ -390,6 +397,7 @@
                         wait_ms,
                         cost_ms,
                         ejected,
+                        send_delay: Duration::from_millis(send_delay_ms.into()),
                     };
                     return Placement::Placed(Box::new(Placed {
                         choice,
@@ -419,6 +427,21 @@
         }
     }
 
+    /// Returns the scheduler of a target, its address, and since when this instance has been the
+    /// scheduler of the target itself.
+    pub(super) fn target_scheduler(
+        &self,
+        target: &TargetId,
+    ) -> (Option<(InstanceId, SocketAddr)>, Option<Duration>) {
+        let scheduling = self.scheduling();
+        let ids = scheduling.scheduler_ids(&self.region, |_| true);
+        let id = scheduler_of(target, &ids);
+        let mut ranked = scheduling.by_region.get(&self.region).into_iter().flatten();
+        let scheduler = ranked.find(|(i, _)| Some(i.as_str()) == id).cloned();
+        let owned_since = scheduling.scheduler.owned_since().get(target).copied();
+        (scheduler, owned_since)
+    }
+
     /// Returns the scheduler to ask next: first that of the target that suits the prompt best, then
     /// a random one.
     fn next_scheduler(
@@ -451,7 +474,7 @@
         id: &InstanceId,
         address: SocketAddr,
     ) -> Option<WirePlace> {
-        let body = encode(&place_request(job, tried)).ok()?;
+        let body = encode(&self.place_request(job, tried)).ok()?;
         let timeout = PLACE_TIMEOUT.min(job.time_left());
         let answer = self.peers.ask(address, PLACE_KIND, body, timeout).await;
         match answer.and_then(|a| decode::<WirePlace>(&a)) {
@@ -471,8 +494,33 @@
         }
     }
 
-    /// Chooses a target without its scheduler. Cold targets are left out, as only their schedulers
-    /// know how many requests they have been sent.
+    fn place_request(&self, job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
+        WirePlaceRequest {
+            service: job.service.clone(),
+            prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
+            tried: tried.to_vec(),
+            max_wait_ms: (job.attempts == 0).then_some(to_millis(job.max_wait)),
+            time_left_ms: u64::try_from(job.time_left().as_millis()).unwrap_or(u64::MAX),
+            limits: self.known_limits(&job.service),
+        }
+    }
+
+    /// Returns the limits that targets of a service have named.
+    fn known_limits(&self, service: &SmolStr) -> Vec<(ProcessKey, WireLimit)> {
+        let now = self.clock.now();
+        let view = self.view();
+        let mut limits = Vec::new();
+        for (process, limit) in self.pool().limits().in_force() {
+            let known = view.targets.get(&process.0);
+            if known.is_some_and(|k| k.entry.service == *service) {
+                limits.push((process.clone(), WireLimit::new(now, limit)));
+            }
+        }
+        limits
+    }
+
+    /// Chooses a target without its scheduler. Cold targets and those with limits are left out, as
+    /// only their schedulers know how many requests they have been sent.
     fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
         let choice = self.query_pool(
             &job.service,
@@ -481,6 +529,7 @@
             |pool, now, view, query| {
                 let query = TargetQuery {
                     warmup: (0.0, 0.0),
+                    limited: LimitedTargets::LeftOut,
                     ..query.clone()
                 };
                 pool.choose_or_quiet(now, view, &self.region, &query, rand::random)
@@ -513,20 +562,27 @@
                 settings.warmup_slack * SCHEDULER_WARMUP_FRACTION,
             ),
             owned_since: Some(scheduling.scheduler.owned_since()),
+            limited: LimitedTargets::Scheduled,
         };
         let mut pool = self.pool();
+        for (process, limit) in &request.limits {
+            pool.limits().hear(process, limit.limit(now));
+        }
         let quote = pool.evaluate(now, &view, &self.region, &query, rand::random);
         let Some(quote) = quote else {
             let quiet = pool.quiet_left(now, &view, &self.region, &query);
             return quiet.map_or(WirePlace::NoTarget, |q| WirePlace::Quiet(q.into()));
         };
-        if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max) {
+        let time_left = Duration::from_millis(request.time_left_ms);
+        if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max)
+            || quote.send_delay > MAX_SEND_DELAY.min(time_left)
+        {
             return WirePlace::Overloaded(quote.wait_ms);
         }
+        pool.limits().take(now, &quote.process());
         pool.record_choice(now, &quote);
         let tokens = pool.record_send(now, &quote, &prompt, 1);
         drop(pool);
-        let time_left = Duration::from_millis(request.time_left_ms);
         let reservation = scheduling
             .scheduler
             .reserve(now, quote.id.clone(), tokens, time_left);
@@ -536,6 +592,7 @@
             wait_ms: quote.wait_ms,
             cost_ms: quote.cost_ms,
             ejected: quote.ejected,
+            send_delay_ms: u32::try_from(quote.send_delay.as_millis()).unwrap_or(u32::MAX),
         }
     }
 
@@ -588,6 +645,7 @@
             instances: &[self.id.as_str()],
             warmup: (0.0, 0.0),
             owned_since: Some(scheduling.scheduler.owned_since()),
+            limited: LimitedTargets::Scheduled,
         };
         let mut pool = self.pool();
         let quote = pool.evaluate(now, &view, &self.region, &query, rand::random)?;
@@ -595,16 +653,6 @@
     }
 }
 
-fn place_request(job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
-    WirePlaceRequest {
-        service: job.service.clone(),
-        prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
-        tried: tried.to_vec(),
-        max_wait_ms: (job.attempts == 0).then_some(job.max_wait.as_secs_f64() * 1_000.0),
-        time_left_ms: u64::try_from(job.time_left().as_millis()).unwrap_or(u64::MAX),
-    }
-}
-
 /// Answers requests for a place.
 pub(super) struct PlaceHandler(pub Arc<Gateway>);
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -15,7 +15,7 @@
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
 use super::scheduler::TAKEOVER_TIME;
-use super::target_limits::{ProcessKey, TargetLimits};
+use super::target_limits::{LimitedTargets, ProcessKey, TargetLimits};
 use super::warmup::{self, RecentSends};
 use super::withdrawal::{QuietEnd, Withdrawals};
 use crate::id::{RegionId, TargetId};
@@ -104,6 +104,8 @@
     /// The targets to choose from and the time since which this instance has been their scheduler;
     /// `None` for all targets.
     pub owned_since: Option<&'a HashMap<TargetId, Duration>>,
+    /// How targets that have named a limit are treated.
+    pub limited: LimitedTargets,
 }
 
 /// An event at a target, as seen by the instance that sent a request to it.
@@ -146,6 +148,9 @@
     pub cost_ms: f64,
     /// Whether the target is ejected and chosen only because no other target is available.
     pub ejected: bool,
+    /// How long the request has to be held back for the limit that the target has named; part of the
+    /// expected wait.
+    pub send_delay: Duration,
 }
 
 /// How fast the engines of targets prefill prompts.
@@ -264,13 +269,18 @@
             {
                 continue;
             }
+            let Some(send_delay) = self.send_delay(now, id, known, query) else {
+                continue;
+            };
             let state = self.state(id, known);
             let prefill_ms = if preferred_target == Some(id) {
                 0.0
             } else {
                 prefill.ms(state.uncached_tokens(now, query.prompt))
             };
-            let wait_ms = state.expected_wait_ms(now, known.entry.slots, prefill);
+            let wait_ms = state
+                .expected_wait_ms(now, known.entry.slots, prefill)
+                .max(send_delay.as_secs_f64() * 1_000.0);
             let penalty_ms = state.failure_rate * FAILURE_PENALTY_MS;
             let cost_ms = wait_ms + prefill_ms + penalty_ms + draw() * JITTER_MS;
             let ejected = state.ejected_until > now;
@@ -284,6 +294,7 @@
                 wait_ms,
                 cost_ms,
                 ejected,
+                send_delay,
             });
         }
         best.or(fallback)
@@ -472,6 +483,30 @@
         state
     }
 
+    /// Returns how long a request to a target has to be held back; `None` if the target is left out.
+    fn send_delay(
+        &self,
+        now: Duration,
+        id: &TargetId,
+        known: &KnownTarget,
+        query: &TargetQuery<'_>,
+    ) -> Option<Duration> {
+        let process = (id.clone(), known.entry.started_unix_ms);
+        if self.limits.per_s(&process).is_none() {
+            return Some(Duration::ZERO);
+        }
+        match query.limited {
+            LimitedTargets::Scheduled => {
+                let owned_since = query.owned_since.and_then(|o| o.get(id));
+                let takeover_end = owned_since.map_or(now, |since| *since + TAKEOVER_TIME);
+                let delay = self.limits.delay(now, &process);
+                Some(delay.max(takeover_end.saturating_sub(now)))
+            }
+            LimitedTargets::Asked => Some(self.limits.known_delay(now, &process)),
+            LimitedTargets::LeftOut => None,
+        }
+    }
+
     /// Tells whether the target is warm or, if cold, may get another request from this instance
     /// now.
     fn takes_another(
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,6 +23,7 @@
 use super::placement::{PlaceHandler, ReportHandler, Reports, send_reports};
 use super::pool::{Pool, Prefill};
 use super::quota::{Quota, follow_organisations};
+use super::send_time::SendTimeHandler;
 use super::settings::{GatewaySettings, ReloadableSettings};
 use super::upstream::TargetConnections;
 use super::withdrawn::apply_withdrawals;
@@ -211,7 +212,8 @@
         .with_handler(Arc::new(QuarantineHandler(quarantine)))
         .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(PlaceHandler(Arc::clone(&gateway))))
-        .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))));
+        .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(SendTimeHandler(Arc::clone(&gateway))));
     tokio::spawn(send_reports(Arc::clone(&gateway)));
     tokio::spawn(apply_withdrawals(Arc::clone(&gateway)));
     if let Some(handler) = limits.handler {
--- a/src/gateway/scheduler.rs
+++ b/src/gateway/scheduler.rs
@@ -25,8 +25,9 @@
 /// the time that the request has left.
 const RESERVATION_GRACE: Duration = Duration::from_secs(1);
 
-/// Time for which a scheduler sends nothing to a cold target that has just become its own. Until
-/// then, the previous scheduler may have used the target's request rate.
+/// Time for which a scheduler sends nothing to a target that has just become its own, if the target
+/// is cold or has named a limit. Until then, the previous scheduler may have used the target's
+/// request rate.
 pub const TAKEOVER_TIME: Duration = Duration::from_secs(2);
 
 /// Returns the schedulers among the live instances of a region, in the order of their rank.
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -105,6 +105,7 @@
             .text("target", choice.id.as_str())
             .value("attempt", job.attempts + 1)
             .value("expected_wait_ms", format_args!("{:.0}", choice.wait_ms))
+            .ms("held_back_ms", choice.send_delay)
             .value("load_age_ms", load_age)
             .value("place_reserved", has_place)
             .value("kept_connection", connection.is_reused())
@@ -330,6 +331,7 @@
         let Some(limit) = limit else {
             return;
         };
+        self.follower.report_limit(&process, limit);
         metrics::counter!("limpetstand_target_limits_total").increment(1);
         journal::line("target_limit")
             .text("request", &job.id)
--- a/src/gateway/withdrawal_news.rs
+++ b/src/gateway/withdrawal_news.rs
@@ -1,14 +1,17 @@
-//! What the instances of a region tell each other of targets that leave or have asked for quiet.
+//! What the instances of a region tell each other of targets that leave, have asked for quiet or
+//! have named a limit.
 //!
 //! The instance whose request was answered so tells the listeners of its region (see
 //! [`super::listeners`]), and these tell the others in answers to their polls. A quiet passes on as
 //! the time left and carries the number of its report, so that an old or repeated message does not
-//! prolong it. Only the process meant is affected.
+//! prolong it. A limit carries the age of the answer that named or ended it; the latest one holds.
+//! Only the process meant is affected.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::registry::KnownTarget;
+use super::target_limits::TargetLimit;
 use super::withdrawal::{LEAVING_MEMORY, MAX_QUIET};
 use crate::id::{InstanceId, TargetId};
 
@@ -30,8 +33,8 @@
     pub change: u64,
 }
 
-/// The withdrawal of a target's process, as instances tell it each other.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// The withdrawal or limit of a target's process, as instances tell it each other.
+#[derive(Debug, Clone, PartialEq)]
 pub struct WithdrawalReport {
     /// The target.
     pub target: TargetId,
@@ -41,6 +44,8 @@
     pub leaving: bool,
     /// How long the process still wants no requests; zero if it takes requests.
     pub quiet_left: Duration,
+    /// What the process has said last of the requests that it takes, if it has ever named a limit.
+    pub limit: Option<TargetLimit>,
     /// The instance whose request was answered so.
     pub reporter: InstanceId,
     /// The number of the report; later reports of an instance have greater ones.
@@ -52,6 +57,7 @@
     started_unix_ms: u64,
     leaving: bool,
     quiet_until: Duration,
+    limit: Option<TargetLimit>,
     /// The reporter and the number of the report that the state is from.
     reporter: InstanceId,
     number: u64,
@@ -129,6 +135,7 @@
                 started_unix_ms: report.started_unix_ms,
                 leaving: false,
                 quiet_until: Duration::ZERO,
+                limit: None,
                 reporter: report.reporter.clone(),
                 number: report.number,
                 heard: BTreeMap::new(),
@@ -146,7 +153,8 @@
         let until = now + report.quiet_left.min(MAX_QUIET);
         let prolongs = is_later && until >= known.quiet_until.max(now) + MIN_EXTENSION;
         let leaves = report.leaving && !known.leaving;
-        if !prolongs && !leaves {
+        let limits = report.limit.is_some_and(|said| known.hear_limit(said));
+        if !prolongs && !leaves && !limits {
             return false;
         }
         known.leaving |= report.leaving;
@@ -227,7 +235,8 @@
                 None => {}
             }
             let leaves = known.leaving && now < known.listed_at + LEAVING_MEMORY;
-            leaves || now < known.quiet_until + REPORT_MEMORY
+            let is_limited = known.is_limited(now) && known.listed_at == now;
+            leaves || is_limited || now < known.quiet_until + REPORT_MEMORY
         });
         self.untold.retain(|id| self.targets.contains_key(id));
     }
@@ -235,7 +244,23 @@
 
 impl Known {
     fn is_active(&self, now: Duration) -> bool {
-        self.leaving || now < self.quiet_until
+        self.leaving || now < self.quiet_until || self.is_limited(now)
+    }
+
+    /// Returns whether the process has a limit, or had one until lately.
+    fn is_limited(&self, now: Duration) -> bool {
+        self.limit
+            .is_some_and(|l| l.per_s.is_some() || now < l.said_at + REPORT_MEMORY)
+    }
+
+    /// Records a limit, or its end; returns whether that changes anything.
+    fn hear_limit(&mut self, said: TargetLimit) -> bool {
+        let known = self.limit;
+        if known.is_some_and(|k| said.said_at < k.said_at) {
+            return false;
+        }
+        self.limit = Some(said);
+        known.and_then(|k| k.per_s) != said.per_s
     }
 
     fn to_report(&self, now: Duration, target: &TargetId) -> WithdrawalReport {
@@ -244,6 +269,7 @@
             started_unix_ms: self.started_unix_ms,
             leaving: self.leaving,
             quiet_left: self.quiet_until.saturating_sub(now),
+            limit: self.limit,
             reporter: self.reporter.clone(),
             number: self.number,
         }
--- a/src/gateway/withdrawn.rs
+++ b/src/gateway/withdrawn.rs
@@ -1,9 +1,11 @@
-//! Takes targets out of use of which other instances have heard that they leave or want quiet.
+//! Takes over what other instances have heard of targets: that they leave, want quiet or take a
+//! limited number of requests.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::Gateway;
+use super::target_attempt::format_rate;
 use super::withdrawal_news::WithdrawalReport;
 use crate::journal;
 
@@ -30,6 +32,17 @@
         if known.entry.started_unix_ms != started {
             return;
         }
+        if let Some(limit) = report.limit {
+            let process = (target.clone(), started);
+            if self.pool().limits().hear(&process, limit) {
+                metrics::counter!("limpetstand_target_limits_heard_total").increment(1);
+                journal::line("target_limit_heard")
+                    .text("target", target.as_str())
+                    .value("born", started)
+                    .value("per_s", format_rate(limit.per_s))
+                    .text("reporter", report.reporter.as_str());
+            }
+        }
         let now = self.clock.now();
         let (prolongs, leaves) = {
             let mut pool = self.pool();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -17,6 +17,7 @@
     OrganisationPolicy, Route, RouteKind, RouteTable, Service, Unit, allows_region,
 };
 use limpetstand::gateway::settings::GatewaySettings;
+use limpetstand::gateway::target_limits::LimitedTargets;
 use limpetstand::gateway::tolerance::{Tolerance, ToleranceUse};
 use limpetstand::gateway::warmup::{self, RecentSends};
 use limpetstand::gateway::{
@@ -351,6 +352,7 @@
         instances: &["i0"],
         warmup: (1.0, 0.0),
         owned_since: None,
+        limited: LimitedTargets::Asked,
     }
 }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -15,6 +15,7 @@
 use limpetstand::gateway::scheduler::{
     INSTANCES_PER_SCHEDULER, Scheduler, TAKEOVER_TIME, scheduler_of, schedulers,
 };
+use limpetstand::gateway::target_limits::LimitedTargets;
 use limpetstand::id::{RegionId, TargetId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -174,6 +175,7 @@
             instances: &[],
             warmup: (1.0, 0.0),
             owned_since: scheduled.then_some(&self.owned[judge]),
+            limited: LimitedTargets::Scheduled,
         };
         let here: RegionId = "here".into();
         let pool = &mut self.pools[judge];
@@ -325,6 +327,7 @@
             instances: &["i0"],
             warmup: (1.0, 0.0),
             owned_since: Some(&owned),
+            limited: LimitedTargets::Scheduled,
         };
         pool.choose(now, &view, &here, &query, || 0.5).map(|c| c.id)
     };
--- a/tests/withdrawal_news.rs
+++ b/tests/withdrawal_news.rs
@@ -1,5 +1,5 @@
-//! How the instances of a region tell each other of targets that leave or have asked for quiet: the
-//! decisions, and whole fleets in virtual time.
+//! How the instances of a region tell each other of targets that leave, have asked for quiet or have
+//! named a limit: the decisions, and whole fleets in virtual time.
 
 #[path = "common/follower_fleet.rs"]
 mod follower_fleet;
@@ -10,9 +10,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use limpetstand::clock::Clock;
 use limpetstand::gateway::dialect::TargetEntry;
 use limpetstand::gateway::listeners::{LISTENERS, Listeners};
 use limpetstand::gateway::registry::KnownTarget;
+use limpetstand::gateway::target_limits::TargetLimit;
 use limpetstand::gateway::withdrawal::MAX_QUIET;
 use limpetstand::gateway::withdrawal_news::{Position, WithdrawalNews, WithdrawalReport};
 use limpetstand::id::{InstanceId, TargetId};
@@ -50,6 +52,7 @@
         started_unix_ms: 1,
         leaving,
         quiet_left: ms(quiet),
+        limit: None,
         reporter: "a".into(),
         number,
     }
@@ -243,6 +246,63 @@
     assert!(!fleet.instances.iter().any(knows));
 }
 
+fn limit(per_s: Option<f64>, said_at: Duration) -> TargetLimit {
+    TargetLimit { per_s, said_at }
+}
+
+#[test]
+fn the_latest_word_on_a_limit_holds() {
+    let registry = listed(1);
+    let mut news = WithdrawalNews::new(1);
+    let said = |number, per_s, at| WithdrawalReport {
+        limit: Some(limit(per_s, ms(at))),
+        ..report(number, false, 0)
+    };
+    assert!(news.hear(ms(1_000), &registry, &said(1, Some(2.0), 1_000)));
+    // The order of the reports tells nothing of that of the answers.
+    assert!(!news.hear(ms(2_000), &registry, &said(2, Some(5.0), 500)));
+    assert!(!news.hear(ms(2_000), &registry, &said(3, Some(2.0), 1_900)));
+    assert!(news.hear(ms(3_000), &registry, &said(4, Some(1.0), 2_900)));
+    news.expire(ms(900_000), &registry);
+    let (_, known) = news.changes_after(ms(900_000), 0);
+    assert_eq!(known[0].limit, Some(limit(Some(1.0), ms(2_900))));
+    assert!(!known[0].leaving && known[0].quiet_left.is_zero());
+    // The end of a limit is passed on as well, and then forgotten.
+    assert!(news.hear(ms(901_000), &registry, &said(5, None, 900_900)));
+    let (_, known) = news.changes_after(ms(901_000), 0);
+    assert_eq!(known[0].limit, Some(limit(None, ms(900_900))));
+    news.expire(ms(990_000), &registry);
+    assert_eq!(news.changes_after(ms(990_000), 0).1, []);
+    // A limit ends with its process.
+    assert!(news.hear(ms(991_000), &registry, &said(6, Some(1.0), 990_900)));
+    news.expire(ms(1_060_000), &listed(2));
+    assert_eq!(news.changes_after(ms(1_060_000), 0).1, []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_instances_of_a_region_know_of_a_limit_and_of_its_end_in_time() {
+    for count in [3, 9, 100, 300] {
+        let clock = Clock::start();
+        let fleet = TestFleet::start(count, 1).await;
+        for per_s in [Some(1.0), Some(0.5), None] {
+            let one = &fleet.instances[count / 2];
+            let said = limit(per_s, clock.now());
+            one.follower.report_limit(&("t1".into(), 1), said);
+            let began = Instant::now();
+            let knows = |i: &TestInstance| {
+                let limit = i.withdrawal("t1").and_then(|w| w.limit);
+                limit.is_some_and(|l| l.per_s == per_s)
+            };
+            while !fleet.instances.iter().all(knows) {
+                assert!(began.elapsed() <= NEWS_BOUND, "{count}, {per_s:?}");
+                sleep(ms(5)).await;
+            }
+            println!("{count}, {per_s:?}: {:?}", began.elapsed());
+            sleep(ms(1_000)).await;
+        }
+    }
+}
+
 /// The registry has another process of the target at the time at which the news arrives.
 #[tokio::test(start_paused = true)]
 async fn a_withdrawal_of_a_former_process_is_not_passed_on() {
