Spend nothing on limits where no target has one

Each request slept for no time before its first attempt, and each candidate was looked up among the limits; the line `blamed` could name 512 suspects. Requests are held back only if they have to be, an empty set of limits is asked once, and the line names 64.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -222,7 +222,9 @@
             }
             let attempts = job.attempts;
             let attempt = async {
-                sleep(choice.send_delay).await;
+                if !choice.send_delay.is_zero() {
+                    sleep(choice.send_delay).await;
+                }
                 self.attempt(job, &choice, place).await
             };
             let outcome = match late.race(attempt).await {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -491,6 +491,9 @@
         known: &KnownTarget,
         query: &TargetQuery<'_>,
     ) -> Option<Duration> {
+        if self.limits.is_empty() {
+            return Some(Duration::ZERO);
+        }
         let process = (id.clone(), known.entry.started_unix_ms);
         if self.limits.per_s(&process).is_none() {
             return Some(Duration::ZERO);
--- a/src/gateway/target_limits.rs
+++ b/src/gateway/target_limits.rs
@@ -141,6 +141,11 @@
         changes
     }
 
+    /// Tells whether no process has named a limit lately.
+    pub fn is_empty(&self) -> bool {
+        self.processes.is_empty()
+    }
+
     /// Returns what a process has said last, if it has ever named a limit.
     pub fn get(&self, process: &ProcessKey) -> Option<TargetLimit> {
         Some(self.processes.get(process)?.limit)
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -42,6 +42,9 @@
 /// Timeout of a question for complete answers; an instance that does not answer is left out.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum number of suspects that a journal line names.
+const MAX_NAMED_SUSPECTS: usize = 64;
+
 /// Time from a report to the judgement, in which other instances report the same crash.
 const REPORT_COLLECTION_TIME: Duration = Duration::from_millis(100);
 
@@ -133,6 +136,7 @@
         journal::line("blamed")
             .text("target", crash.target.as_str())
             .value("born", crash.started_unix_ms)
+            .value("in_flight", crash.suspects.len())
             .text("suspects", &names(&crash.suspects));
         if crash.suspects.is_empty() {
             return;
@@ -468,9 +472,10 @@
     }
 }
 
-/// Lists the fingerprints of suspects.
+/// Lists the fingerprints of suspects, or of the first of many.
 fn names(suspects: &[Suspect]) -> String {
-    let names: Vec<String> = suspects.iter().map(|s| s.fingerprint.to_string()).collect();
+    let first = suspects.iter().take(MAX_NAMED_SUSPECTS);
+    let names: Vec<String> = first.map(|s| s.fingerprint.to_string()).collect();
     names.join(",")
 }
 
