Condemn a suspect again for its first crash after a quarantine

For an hour its next crash is enough, unless a request with it has had a complete answer since the quarantine.

Before: in virtual time, nine instances did not refuse it within 1 s of one more crash. After: they do, and refuse none of 61 sound parts.

--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -48,6 +48,9 @@
 /// answers to sound suspects take their time.
 const MAX_PATIENCE_RUNNING: Duration = Duration::from_secs(20);
 
+/// How long a suspect whose quarantine has ended is condemned again for its first crash.
+const PROBATION_TIME: Duration = Duration::from_secs(3_600);
+
 /// A condemned suspect needs to have been in flight at one of this many crashes since its first.
 const MIN_SHARE_OF_CRASHES: usize = 4;
 
@@ -179,6 +182,8 @@
     answers: HashMap<Fingerprint, Answers>,
     /// Condemned suspects, until the crashes of requests that were already in flight are over.
     condemned_until: HashMap<Fingerprint, Duration>,
+    /// When the quarantine of suspects has ended.
+    released_at: HashMap<Fingerprint, Duration>,
 }
 
 impl Blame {
@@ -217,6 +222,13 @@
         self.condemned_until.insert(suspect, now + CRASH_MEMORY);
     }
 
+    /// Records that the quarantine of a suspect has ended. It is condemned again for one crash, unless
+    /// it has had a complete answer by then.
+    pub fn record_released(&mut self, now: Duration, suspect: Fingerprint) {
+        self.condemned_until.remove(&suspect);
+        self.released_at.insert(suspect, now);
+    }
+
     /// Returns the suspects about which instances are to be asked before one is condemned, those
     /// with most crashes first; empty if none is near.
     pub fn to_check(&mut self, now: Duration) -> Vec<Fingerprint> {
@@ -225,13 +237,13 @@
         let mut suspects: Vec<(usize, Fingerprint)> = evidence
             .iter()
             .map(|(fingerprint, evidence)| (evidence.count(), *fingerprint))
-            .filter(|(count, _)| *count >= CRASHES_TO_CHECK)
+            .filter(|(count, suspect)| *count >= CRASHES_TO_CHECK || self.is_on_probation(*suspect))
             .collect();
         suspects.sort_unstable_by(|a, b| b.cmp(a));
-        if suspects
-            .first()
-            .is_none_or(|(count, _)| *count < CRASHES_TO_CONDEMN)
-        {
+        let is_near = |(count, suspect): &(usize, Fingerprint)| {
+            *count >= CRASHES_TO_CONDEMN || self.is_on_probation(*suspect)
+        };
+        if !suspects.iter().any(is_near) {
             return Vec::new();
         }
         suspects.truncate(MAX_CHECKED);
@@ -277,6 +289,13 @@
                 continue;
             };
             let count = own.count();
+            if self.is_on_probation(*fingerprint) {
+                found.push(Condemned {
+                    fingerprint: *fingerprint,
+                    crashes: count,
+                });
+                continue;
+            }
             if count < CRASHES_TO_CONDEMN || own.due_at > now || !self.has_share_of_crashes(own) {
                 continue;
             }
@@ -299,6 +318,15 @@
         found
     }
 
+    /// Tells whether the quarantine of a suspect has ended and it has had no answer since.
+    fn is_on_probation(&self, suspect: Fingerprint) -> bool {
+        let Some(released_at) = self.released_at.get(&suspect) else {
+            return false;
+        };
+        let answers = self.answers.get(&suspect);
+        !answers.is_some_and(|a| a.clear(*released_at))
+    }
+
     /// Tells whether a suspect was in flight at a good part of the crashes since its first one.
     /// When many targets end for another reason, some of the ends meet every frequent suspect.
     fn has_share_of_crashes(&self, own: &Evidence) -> bool {
@@ -367,5 +395,6 @@
         let forgotten = now.saturating_sub(CRASH_MEMORY);
         self.answers.retain(|_, a| a.are_since(forgotten));
         self.condemned_until.retain(|_, until| *until > now);
+        self.released_at.retain(|_, at| *at + PROBATION_TIME > now);
     }
 }
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -394,6 +394,8 @@
     fn release_expired(&self) {
         let released = lock(&self.quarantine).remove_expired(self.deps.clock.now());
         for fingerprint in released {
+            let now = self.deps.clock.now();
+            lock(&self.blame).record_released(now, fingerprint);
             journal::line("released").text("suspect", &fingerprint.to_string());
         }
     }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -333,6 +333,37 @@
     assert_eq!(found, [whole]);
 }
 
+#[test]
+fn a_suspect_whose_quarantine_has_ended_is_condemned_again_for_one_crash() {
+    let mut blame = Blame::default();
+    blame.record_released(ms(600_000), part(HARMFUL));
+    let at = ms(1_200_000);
+    let suspects = request(1, &[FIRST, HARMFUL, 3]);
+    blame.record(at, at, crash(1, suspects));
+    let checked = blame.to_check(at);
+    let found = blame.condemn(at, &checked);
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].fingerprint, part(HARMFUL));
+}
+
+#[test]
+fn a_suspect_with_an_answer_since_its_quarantine_is_like_any_other() {
+    let mut blame = Blame::default();
+    blame.record_released(ms(600_000), part(HARMFUL));
+    let at = ms(620_000);
+    blame.record(at, at, crash(1, request(1, &[HARMFUL])));
+    let checked = blame.to_check(at);
+    assert_eq!(checked, [part(HARMFUL)]);
+    blame.record_answers(part(HARMFUL), answer(ms(601_000)));
+    assert_eq!(blame.condemn(at, &checked), []);
+    // The probation ends.
+    let mut blame = Blame::default();
+    blame.record_released(ms(600_000), part(HARMFUL));
+    let at = ms(600_000 + 3_600_000);
+    blame.record(at, at, crash(1, request(1, &[HARMFUL])));
+    assert_eq!(blame.to_check(at), []);
+}
+
 /// Returns requests with some of 40 parts, of which no two have the same last part.
 fn in_flight(max: usize) -> impl Strategy<Value = Vec<Vec<u64>>> {
     prop::collection::vec(prop::collection::vec(10_u64..50, 0..3), 0..max)
--- a/tests/quarantine/fleet.rs
+++ b/tests/quarantine/fleet.rs
@@ -365,6 +365,11 @@
     sleep(QUARANTINE_TIME).await;
     sleep(ms(3_000)).await;
     assert_eq!(fleet.refusing(HARMFUL), Vec::<usize>::new());
+    // One more crash is enough, and still tells the harmful part from sound ones.
+    fleet.complete_some(600);
+    fleet.crash(&region(0));
+    fleet.wait_until_refused(ms(1_000), |_| true).await;
+    fleet.check_no_sound_part_is_refused();
 }
 
 #[tokio::test(start_paused = true)]
