--- a/src/gateway/target_limits.rs
+++ b/src/gateway/target_limits.rs
@@ -121,7 +121,7 @@
         self.hear(process, said).then_some(said)
     }
 
-    /// Records what a process has said, also to another instance; returns whether the limit has
+    /// Records what a process has said, here or to another instance; returns whether the limit has
     /// changed.
     pub fn hear(&mut self, process: &ProcessKey, said: TargetLimit) -> bool {
         let Some(known) = self.processes.get_mut(process) else {
--- a/src/quarantine/blame.rs
+++ b/src/quarantine/blame.rs
@@ -102,7 +102,7 @@
     }
 
     /// Tells whether a request that began at `crash` or later has had a complete answer.
-    fn clear(self, crash: Duration) -> bool {
+    fn clears(self, crash: Duration) -> bool {
         self.complete.is_some_and(|a| a.began >= crash)
     }
 
@@ -223,7 +223,7 @@
     }
 
     /// Records that the quarantine of a suspect has ended. It is condemned again for one crash, unless
-    /// it has had a complete answer by then.
+    /// a request that began since has lately had a complete answer.
     pub fn record_released(&mut self, now: Duration, suspect: Fingerprint) {
         self.condemned_until.remove(&suspect);
         self.released_at.insert(suspect, now);
@@ -259,8 +259,8 @@
         pending.map(|own| own.due_at).min()
     }
 
-    /// Condemns suspects among those that `checked` lists: the answers that instances have lately received
-    /// to them are known from [`Blame::record_answers`].
+    /// Condemns suspects among those that `checked` lists: the answers that instances have lately
+    /// received to them are known from [`Blame::record_answers`].
     pub fn condemn(&mut self, now: Duration, checked: &[Fingerprint]) -> Vec<Condemned> {
         self.expire(now);
         let mut condemned = Vec::new();
@@ -318,13 +318,14 @@
         found
     }
 
-    /// Tells whether the quarantine of a suspect has ended and it has had no answer since.
+    /// Tells whether the quarantine of a suspect has ended, and no later request is known to have had
+    /// a complete answer.
     fn is_on_probation(&self, suspect: Fingerprint) -> bool {
         let Some(released_at) = self.released_at.get(&suspect) else {
             return false;
         };
         let answers = self.answers.get(&suspect);
-        !answers.is_some_and(|a| a.clear(*released_at))
+        !answers.is_some_and(|a| a.clears(*released_at))
     }
 
     /// Tells whether a suspect was in flight at a good part of the crashes since its first one.
@@ -362,7 +363,7 @@
             for suspect in &known.crash.suspects {
                 let answers = self.answers.get(&suspect.fingerprint);
                 let answers = answers.copied().unwrap_or_default();
-                if answers.clear(known.at)
+                if answers.clears(known.at)
                     || self.condemned_until.contains_key(&suspect.fingerprint)
                     || self.is_explained(known, suspect, answers.complete.is_some())
                 {
