--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -136,7 +136,9 @@
             )
             .value("version", table.version)
             .text("regions", &join_region_names(&admitted.regions))
-            .text("charged_to", charge.source());
+            .text("charged_to", charge.source())
+            .text("resumes", head.resumes.as_deref().unwrap_or(""))
+            .text("resume_after", head.resume_after.as_deref().unwrap_or(""));
         let mut job = self.job(parts, &head, admitted, service, body, deadline);
         job.suspects = suspects;
         let outcome = timeout_at(deadline, self.0.dispatch(&mut job)).await;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// The target's data centre.
     pub data_centre: SmolStr,
+    /// The version of the target's software. Targets of several versions may serve side by side.
+    pub software_version: SmolStr,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
     /// Whether the target is about to leave.
@@ -94,6 +96,9 @@
     pub prompt: Vec<PromptPart>,
     /// Identifier of the event after which a stream resumes.
     pub resume_after: Option<SmolStr>,
+    /// Identifier of the request that brought the first event of the stream that the caller takes
+    /// up.
+    pub resumes: Option<SmolStr>,
 }
 
 /// The information that the gateway adds to a request for a target.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -454,6 +454,7 @@
             .text("target", id.as_str())
             .text("service", &known.entry.service)
             .text("data_centre", &known.entry.data_centre)
+            .text("software_version", &known.entry.software_version)
             .value("leaving", known.entry.leaving)
             .value("born", known.entry.started_unix_ms);
     }
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -103,6 +103,7 @@
         journal::line("sent")
             .text("request", &job.id)
             .text("target", choice.id.as_str())
+            .text("software_version", &choice.known.entry.software_version)
             .value("attempt", job.attempts + 1)
             .value("expected_wait_ms", format_args!("{:.0}", choice.wait_ms))
             .ms("held_back_ms", choice.send_delay)
--- a/tests/common/follower_fleet.rs
+++ b/tests/common/follower_fleet.rs
@@ -219,6 +219,7 @@
             service: "s".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "a0".into(),
+            software_version: "v1".into(),
             slots: 8,
             leaving: value == b"leaving",
             cold_for: Duration::ZERO,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -136,6 +136,7 @@
         service: service.into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: data_centre.into(),
+        software_version: "v1".into(),
         slots: 4,
         leaving: false,
         cold_for: Duration::ZERO,
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -57,6 +57,7 @@
             service: SERVICE.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "a".into(),
+            software_version: "v1".into(),
             slots: 64,
             leaving: false,
             cold_for: Duration::ZERO,
--- a/tests/withdrawal_news.rs
+++ b/tests/withdrawal_news.rs
@@ -32,6 +32,7 @@
         service: "s".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         data_centre: "a0".into(),
+        software_version: "v1".into(),
         slots: 8,
         leaving: false,
         cold_for: Duration::ZERO,
