Let streams go on only at the software version that began them

Cause: a stream's state beyond its last event id was not part of what identifies the place where it may go on. Neither an instance that resumed a stream by itself nor one at which a caller took a stream up knew which software wrote its events; both chose among all targets of the service.

Change: the instance that passes on the first event records service and software version (`stream_origin`). It resumes the stream only at targets of that version, in any region. For a caller who comes to another instance, copies of the record are kept by two instances of the region and one of each other region, chosen by rendezvous hashing of the stream's id, while a service has or lately had two versions; with one version no message is sent. Without a record a stream goes on only if a single version has served for as long as streams last, which an instance that has just started asks another one. Otherwise it is refused at once.

`Reports` of placement and the records of streams are sent by one `Outbox`.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
-//! [`withdrawal_news`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
+//! [`withdrawal_news`], [`stream_origin`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
 //! sockets nor a clock.
 
 use std::collections::HashMap;
@@ -36,6 +36,8 @@
 pub mod listeners;
 pub mod load_shedding;
 pub mod mirror;
+mod origin_news;
+mod outbox;
 mod placement;
 pub mod platform_view;
 pub mod pool;
@@ -51,6 +53,7 @@
 mod send_time;
 pub mod settings;
 mod source;
+pub mod stream_origin;
 mod target_attempt;
 pub mod target_limits;
 mod target_stream;
@@ -70,12 +73,14 @@
 use self::dialect::{Dialect, PromptPart};
 use self::job::Job;
 use self::load_shedding::TypicalPrefill;
+use self::origin_news::OriginRecords;
 use self::placement::{Reports, Scheduling};
 use self::platform_view::PlatformView;
-use self::pool::{Pool, Prefill};
+use self::pool::{Demand, Pool, Prefill};
 use self::quota::Quota;
 use self::relay::{WireHead, WireJob, WireOutcome, headers_to_wire};
 use self::settings::ReloadableSettings;
+use self::stream_origin::StreamOrigins;
 use self::upstream::TargetConnections;
 use crate::clock::Clock;
 use crate::id::{InstanceId, RegionId, RouteId};
@@ -130,6 +135,8 @@
     remote_waits: Mutex<RegionWaits>,
     scheduling: Mutex<Scheduling>,
     reports: Reports,
+    origins: Mutex<StreamOrigins>,
+    origin_records: OriginRecords,
     typical_prefill: Mutex<TypicalPrefill>,
     quarantine: Arc<QuarantineService>,
     probed: ProbedProcesses,
@@ -287,7 +294,13 @@
         if let Some(wait_ms) = self.remote_waits(service).get(&self.region) {
             return Some(*wait_ms);
         }
-        self.query_pool(service, &[], &[], |pool, now, view, query| {
+        let demand = Demand {
+            service,
+            software_version: None,
+            prompt: &[],
+            tried: &[],
+        };
+        self.query_pool(demand, |pool, now, view, query| {
             pool.evaluate(now, view, &self.region, query, rand::random)
         })
         .map(|choice| choice.wait_ms)
@@ -336,6 +349,7 @@
                     status: reply.status.as_u16(),
                     headers: headers_to_wire(&reply.headers),
                     target: reply.target,
+                    software_version: reply.software_version,
                 };
                 let head = WireHead {
                     attempts: reply.attempts,
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -32,6 +32,10 @@
     source: Source,
     /// The target that answers.
     target: TargetId,
+    /// The version of the target's software.
+    software_version: SmolStr,
+    /// Whether an event of a stream has been passed on to the caller.
+    begun: bool,
     /// Splits a resumable stream into events; `None` if bytes are forwarded as received.
     events: Option<EventReader>,
     progress: AnswerProgress,
@@ -106,6 +110,8 @@
         job,
         source: reply.source,
         target: reply.target,
+        software_version: reply.software_version,
+        begun: false,
         last_read: Instant::now(),
         done: false,
     };
@@ -119,6 +125,7 @@
             reader.progress.push(data);
             reader.end_record.inside_event = reader.progress.is_inside_event();
             reader.record_whole_length();
+            reader.record_begin();
         }
         reader.done = item.is_err();
         Some((item.map(Frame::data), reader))
@@ -164,6 +171,16 @@
         }
     }
 
+    /// Records at which software version the stream has begun once its first event is passed on.
+    fn record_begin(&mut self) {
+        if self.begun || !self.job.kind.is_stream() || self.end_record.status >= 300 {
+            return;
+        }
+        self.begun = true;
+        self.gateway
+            .record_stream_begin(&self.job, &self.software_version);
+    }
+
     /// Records that the answer is complete once all bytes of a body of known length are there. The
     /// HTTP server does not ask for the end of such a body.
     fn record_whole_length(&mut self) {
@@ -285,8 +302,15 @@
         if let Some(last_id) = &events.last_id {
             job.resume_after = Some(last_id.clone());
         }
+        if self.begun {
+            job.software_version = Some(self.software_version.clone());
+        }
         journal::line("resumed")
             .text("request", &job.id)
+            .text(
+                "software_version",
+                job.software_version.as_deref().unwrap_or(""),
+            )
             .text("after", job.resume_after.as_deref().unwrap_or(""))
             .text("error", error);
         Ok(job)
@@ -305,6 +329,7 @@
                 self.job = job;
                 self.source = reply.source;
                 self.target = reply.target;
+                self.software_version = reply.software_version;
                 self.last_read = Instant::now();
                 if let Some(events) = &mut self.events {
                     events.splitter = EventSplitter::default();
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -6,17 +6,15 @@
 
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName};
-use smol_str::SmolStr;
 use tokio::time::{Instant, sleep};
 
 use super::Gateway;
-use super::dialect::PromptPart;
 use super::job::{Failure, Job, Reply};
 use super::late::LateAnswers;
 use super::load_shedding;
 use super::placement::{Placed, Placement};
 use super::platform_view::PlatformView;
-use super::pool::{Choice, Pool, TargetQuery};
+use super::pool::{Choice, Demand, Pool, TargetQuery};
 use super::region;
 use super::target_attempt::AttemptError;
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY};
@@ -156,7 +154,7 @@
     }
 
     /// Tells whether the instance has started so recently that it may not know the other instances.
-    fn is_starting(&self) -> bool {
+    pub(super) fn is_starting(&self) -> bool {
         self.clock.now() < STARTUP_TIME
     }
 
@@ -322,14 +320,9 @@
             return self.place(job, tried).await;
         }
         for _ in 0..MAX_TIMES_ASKED {
-            let choice = self.query_pool(
-                &job.service,
-                &job.prompt,
-                tried,
-                |pool, now, view, query| {
-                    pool.choose_or_quiet(now, view, &self.region, query, rand::random)
-                },
-            );
+            let choice = self.query_pool(job.demand(tried), |pool, now, view, query| {
+                pool.choose_or_quiet(now, view, &self.region, query, rand::random)
+            });
             let mut choice = match choice {
                 Ok(choice) => choice,
                 Err(quiet) => return Err(quiet).into(),
@@ -356,13 +349,11 @@
         Placement::Overloaded(to_millis(MAX_SEND_DELAY))
     }
 
-    /// Calls `run_query` with the pool and a query built from the region's known instances and the
-    /// warm-up bounds.
+    /// Calls `run_query` with the pool and a query built from the demand, the region's known
+    /// instances and the warm-up bounds.
     pub(super) fn query_pool<T>(
         &self,
-        service: &SmolStr,
-        prompt: &[PromptPart],
-        tried: &[TargetId],
+        demand: Demand<'_>,
         run_query: impl FnOnce(&mut Pool, Duration, &PlatformView, &TargetQuery<'_>) -> T,
     ) -> T {
         let view = self.view();
@@ -386,9 +377,7 @@
             )
         };
         let query = TargetQuery {
-            service,
-            prompt,
-            tried,
+            demand,
             own_id: self.id.as_str(),
             instances: &instances,
             warmup,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -20,6 +20,7 @@
 use super::job::{Job, suspects};
 use super::listen::Handler;
 use super::load_shedding;
+use super::pool;
 use super::quota::Charge;
 use super::routes::{CallerLimits, OrganisationPolicy, Route, RouteTable, allows_region};
 use crate::front::reply::refusal_json;
@@ -75,6 +76,13 @@
     regions: Vec<RegionId>,
 }
 
+/// Where a request is to run.
+struct Destination {
+    service: SmolStr,
+    /// The software version that began the stream that the caller takes up.
+    software_version: Option<SmolStr>,
+}
+
 impl CallerHandler {
     async fn serve(&self, req: Request<Incoming>, guard: InFlightGuard) -> Response<ResponseBody> {
         let began = Instant::now();
@@ -99,11 +107,13 @@
                 return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
             }
         };
-        let service = admitted.route.service(rand::random());
-        let Some(service) = service.cloned() else {
-            let refusal = Refusal::not_run(Code::NoTarget, "the route has no service");
-            return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
+        let destination = match self.destination(&admitted, &head).await {
+            Ok(destination) => destination,
+            Err(refusal) => {
+                return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
+            }
         };
+        let service = destination.service.clone();
         let path = path_of(&parts);
         let organisation = admitted.organisation.as_ref().map(|(o, _)| o);
         let suspects = suspects(
@@ -139,7 +149,7 @@
             .text("charged_to", charge.source())
             .text("resumes", head.resumes.as_deref().unwrap_or(""))
             .text("resume_after", head.resume_after.as_deref().unwrap_or(""));
-        let mut job = self.job(parts, &head, admitted, service, body, deadline);
+        let mut job = self.job(parts, &head, admitted, destination, body, deadline);
         job.suspects = suspects;
         let outcome = timeout_at(deadline, self.0.dispatch(&mut job)).await;
         let reply = match outcome {
@@ -180,7 +190,7 @@
         parts: http::request::Parts,
         head: &RequestHead,
         admitted: Admitted<'_>,
-        service: SmolStr,
+        destination: Destination,
         body: Bytes,
         deadline: Instant,
     ) -> Job {
@@ -192,17 +202,22 @@
         strip_hop_by_hop_headers(&mut headers);
         let priority = combined_priority(organisation_priority, route.priority);
         let typical_prefill = self.0.record_prompt(&route.name, &head.prompt);
+        let mut max_wait = load_shedding::max_wait(route.objective, priority, typical_prefill);
+        if destination.software_version.is_some() {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            max_wait = load_shedding::max_wait_of_taken_up(max_wait, time_left);
+        }
         Job {
             id: head.id.clone(),
             route: route.name.clone(),
             kind: route.kind,
-            service,
+            service: destination.service,
             organisation: admitted.organisation.map(|(o, _)| o),
             priority,
             max_attempts: route.max_attempts.max(1),
             attempts: 0,
             objective: route.objective,
-            max_wait: load_shedding::max_wait(route.objective, priority, typical_prefill),
+            max_wait,
             deadline,
             method: parts.method,
             path,
@@ -214,6 +229,8 @@
             may_have_run: false,
             suspects: Arc::default(),
             resume_after: head.resume_after.clone(),
+            stream: stream_of(head).clone(),
+            software_version: destination.software_version,
             hops: 0,
         }
     }
@@ -271,6 +288,62 @@
         })
     }
 
+    /// Chooses the service of a request. A stream that its caller takes up goes on at the service and
+    /// the software version that began it.
+    async fn destination(
+        &self,
+        admitted: &Admitted<'_>,
+        head: &RequestHead,
+    ) -> Result<Destination, Refusal> {
+        let route = admitted.route;
+        if !route.kind.is_stream() || head.resume_after.is_none() {
+            let service = route.service(rand::random()).cloned();
+            let no_service = || Refusal::not_run(Code::NoTarget, "the route has no service");
+            return Ok(Destination {
+                service: service.ok_or_else(no_service)?,
+                software_version: None,
+            });
+        }
+        let stream = stream_of(head);
+        let origin = self
+            .0
+            .find_stream_origin(stream, route.only_service())
+            .await;
+        let version = origin.as_ref().map(|o| o.software_version.as_str());
+        let refusal = match &origin {
+            None => Some("it is not known which software version began the stream"),
+            Some(origin) if !route.allows_service(&origin.service) => {
+                Some("the route no longer leads to the service that began the stream")
+            }
+            Some(origin) => {
+                let view = self.0.view();
+                let capacity =
+                    pool::capacity(&view, &origin.service, Some(&origin.software_version));
+                let is_served = admitted.regions.iter().any(|r| capacity.contains_key(r));
+                (!is_served).then_some("no target of the software version that began the stream")
+            }
+        };
+        let outcome = if refusal.is_some() {
+            "refused"
+        } else {
+            "goes_on"
+        };
+        metrics::counter!("limpetstand_streams_taken_up_total", "outcome" => outcome).increment(1);
+        journal::line("taken_up")
+            .text("request", &head.id)
+            .text("stream", stream)
+            .text("software_version", version.unwrap_or(""))
+            .text("outcome", outcome);
+        match (origin, refusal) {
+            (Some(origin), None) => Ok(Destination {
+                service: origin.service,
+                software_version: Some(origin.software_version),
+            }),
+            // No `Retry-After`: a later try would be refused too.
+            (_, why) => Err(Refusal::not_run(Code::NoTarget, why.unwrap_or_default())),
+        }
+    }
+
     async fn charge(
         &self,
         admitted: &Admitted<'_>,
@@ -336,6 +409,13 @@
         .min(LOWEST_PRIORITY)
 }
 
+/// Returns the id under which the origin of a request's stream is recorded: that of the request that
+/// brought its first event.
+fn stream_of(head: &RequestHead) -> &SmolStr {
+    let taken_up = head.resume_after.as_ref().and(head.resumes.as_ref());
+    taken_up.unwrap_or(&head.id)
+}
+
 /// Returns the path and query of a request.
 fn path_of(parts: &http::request::Parts) -> String {
     let path = parts.uri.path_and_query();
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -90,7 +90,7 @@
             };
             self.record_remote_wait(region, &job.service, head.wait_ms);
             job.attempts = head.attempts;
-            let (status, headers, target) = match head.outcome {
+            let (status, headers, (target, software_version)) = match head.outcome {
                 WireOutcome::Refused(refusal) => {
                     return Err(self.relay_failure(job, region, refusal));
                 }
@@ -98,7 +98,8 @@
                     status,
                     headers,
                     target,
-                } => (status, headers, target),
+                    software_version,
+                } => (status, headers, (target, software_version)),
             };
             let head = status_from_wire(status)
                 .and_then(|status| headers_from_wire(headers).map(|headers| (status, headers)));
@@ -113,6 +114,7 @@
                 status,
                 headers,
                 target,
+                software_version,
                 attempts: job.attempts,
                 source: Source::Peer(Box::new(relayed.body)),
             });
@@ -144,7 +146,7 @@
     ) -> RegionStats {
         let view = self.view();
         let mut stats = RegionStats {
-            capacity: pool::capacity(&view, &job.service),
+            capacity: pool::capacity(&view, &job.service, job.software_version.as_ref()),
             wait_ms: self.remote_waits(&job.service),
             own_targets_ejected: false,
             max_wait_ms: None,
@@ -178,23 +180,14 @@
     /// ejected. If all targets have asked for quiet, the wait lasts until the first one takes
     /// requests again.
     fn local_quote(&self, job: &Job) -> (Option<f64>, bool) {
-        self.query_pool(
-            &job.service,
-            &job.prompt,
-            &[],
-            |pool, now, view, query| match pool.evaluate(
-                now,
-                view,
-                &self.region,
-                query,
-                rand::random,
-            ) {
+        self.query_pool(job.demand(&[]), |pool, now, view, query| {
+            match pool.evaluate(now, view, &self.region, query, rand::random) {
                 Some(choice) => (Some(choice.wait_ms), choice.ejected),
                 None => {
                     let quiet = pool.quiet_left(now, view, &self.region, query);
                     (quiet.map(|q| to_millis(q.left)), false)
                 }
-            },
-        )
+            }
+        })
     }
 }
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -236,7 +236,7 @@
     }
 
     /// Whether the instance's own calls to the store succeed, or its news from others is recent.
-    fn has_recent_news(&self) -> bool {
+    pub(in crate::gateway) fn has_recent_news(&self) -> bool {
         let mut state = self.state();
         self.check_news(&mut state);
         state.has_recent_news && !state.followed.iter().any(|f| f.failing)
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::dialect::PromptPart;
+use super::pool::Demand;
 use super::routes::RouteKind;
 use super::source::Source;
 use crate::id::{OrganisationId, RegionId, RouteId, TargetId};
@@ -61,6 +62,12 @@
     pub suspects: Arc<[Suspect]>,
     /// The id of the event after which a stream is to resume.
     pub resume_after: Option<SmolStr>,
+    /// The id under which the stream's origin is recorded: that of the request that brought its
+    /// first event.
+    pub stream: SmolStr,
+    /// The software version that began the stream, at which alone it may go on; `None` if no event
+    /// has reached the caller.
+    pub software_version: Option<SmolStr>,
     /// How often the request has been relayed between regions: 0 or 1.
     pub hops: u8,
 }
@@ -71,6 +78,16 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns what the request asks of its target.
+    pub(super) fn demand<'a>(&'a self, tried: &'a [TargetId]) -> Demand<'a> {
+        Demand {
+            service: &self.service,
+            software_version: self.software_version.as_ref(),
+            prompt: &self.prompt,
+            tried,
+        }
+    }
+
     /// Returns how many more targets the request may be sent to.
     pub(super) fn attempts_left(&self) -> u32 {
         self.max_attempts.saturating_sub(self.attempts)
@@ -100,6 +117,8 @@
     pub headers: HeaderMap,
     /// The target that answers.
     pub target: TargetId,
+    /// The version of the target's software.
+    pub software_version: SmolStr,
     /// Number of targets that the request has been sent to so far.
     pub attempts: u32,
     /// The source of the response's body.
--- a/src/gateway/load_shedding.rs
+++ b/src/gateway/load_shedding.rs
@@ -35,6 +35,10 @@
 /// Smallest part of the objective that is left for the wait however long prompts take to read.
 const MIN_WAIT_PART: f64 = 0.3;
 
+/// Longest wait of a stream that its caller takes up; callers give up a stream after a pause of two
+/// seconds or more.
+const MAX_WAIT_OF_TAKEN_UP: Duration = Duration::from_millis(1_500);
+
 /// Returns how long a request may wait before a target starts on it.
 ///
 /// `typical_prefill` is the time that reading a prompt of the request's route takes on average. A
@@ -50,6 +54,12 @@
     time_to_wait.mul_f64(ratio.max(MIN_WAIT_RATIO))
 }
 
+/// Returns how long a stream that its caller takes up may wait before a target goes on with it. Only
+/// targets of its software version can, and what the caller has received is lost if it is refused.
+pub fn max_wait_of_taken_up(max_wait: Duration, time_left: Duration) -> Duration {
+    max_wait.max(MAX_WAIT_OF_TAKEN_UP.min(time_left / 2))
+}
+
 /// The average time that reading a prompt takes, by route.
 #[derive(Debug, Clone, Default)]
 pub struct TypicalPrefill(HashMap<RouteId, f64>);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -10,14 +10,13 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use tokio::sync::Notify;
-use tokio::time::sleep;
 
 use super::attempts::to_millis;
 use super::dialect::PromptPart;
 use super::job::Job;
+use super::outbox::{Delivery, Outbox};
 use super::platform_view::PlatformView;
-use super::pool::{self, Choice, TargetEvent, TargetQuery};
+use super::pool::{self, Choice, Demand, TargetEvent, TargetQuery};
 use super::scheduler::{Scheduler, scheduler_of, schedulers};
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
 use super::withdrawal::QuietEnd;
@@ -33,11 +32,13 @@
 /// How long a scheduler that has not answered is passed over.
 const AVOID_TIME: Duration = Duration::from_secs(1);
 
-/// How long reports are collected before they are sent to a scheduler.
-const REPORT_DELAY: Duration = Duration::from_millis(25);
-
-/// Timeout of a message with reports. Lost reports are made up for by the expiry of reservations.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How reports are sent. Lost reports are made up for by the expiry of reservations.
+const REPORT_DELIVERY: Delivery = Delivery {
+    kind: "placed",
+    delay: Duration::from_millis(25),
+    timeout: Duration::from_secs(1),
+    lost_counter: "limpetstand_placement_reports_lost_total",
+};
 
 /// Number of schedulers that are asked before a request is refused.
 const MAX_SCHEDULERS_ASKED: usize = 2;
@@ -49,13 +50,11 @@
 /// The kind of peer messages that request a place.
 const PLACE_KIND: &str = "place";
 
-/// The kind of peer messages that report how requests went.
-const REPORT_KIND: &str = "placed";
-
 /// A request for a place at a target.
 #[derive(Debug, Serialize, Deserialize)]
 struct WirePlaceRequest {
     service: SmolStr,
+    software_version: Option<SmolStr>,
     prompt: Vec<(u64, u32)>,
     tried: Vec<TargetId>,
     /// Longest wait with which the request takes a place; `None` for any.
@@ -186,7 +185,7 @@
 
 /// A report of one event, as encoded between instances.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct WireReport {
+pub(super) struct WireReport {
     reservation: u64,
     event: WireEvent,
 }
@@ -244,45 +243,13 @@
     }
 }
 
-/// Reports that wait to be sent, by scheduler.
-#[derive(Debug, Default)]
-pub(super) struct Reports {
-    pending: std::sync::Mutex<HashMap<SocketAddr, Vec<WireReport>>>,
-    added: Notify,
-}
-
-impl Reports {
-    fn push(&self, scheduler: SocketAddr, report: WireReport) {
-        lock(&self.pending)
-            .entry(scheduler)
-            .or_default()
-            .push(report);
-        self.added.notify_one();
-    }
-}
+/// The reports that wait to be sent to schedulers.
+pub(super) type Reports = Outbox<WireReport>;
 
 /// Sends the reports to the schedulers until the runtime ends.
 pub(super) async fn send_reports(gateway: Arc<Gateway>) {
-    loop {
-        gateway.reports.added.notified().await;
-        sleep(REPORT_DELAY).await;
-        let pending = std::mem::take(&mut *lock(&gateway.reports.pending));
-        for (scheduler, reports) in pending {
-            let Ok(body) = encode(&reports) else {
-                continue;
-            };
-            let gateway = Arc::clone(&gateway);
-            tokio::spawn(async move {
-                let sent = gateway
-                    .peers
-                    .ask(scheduler, REPORT_KIND, body, REPORT_TIMEOUT);
-                if sent.await.is_err() {
-                    // The reservations expire at the scheduler, if it still runs.
-                    metrics::counter!("limpetstand_placement_reports_lost_total").increment(1);
-                }
-            });
-        }
-    }
+    let peers = Arc::clone(&gateway.peers);
+    gateway.reports.send_all(peers, REPORT_DELIVERY).await;
 }
 
 /// The schedulers of each region, as this instance sees the fleet.
@@ -387,8 +354,12 @@
                     };
                     self.record_remote_wait(&self.region, &job.service, Some(wait_ms));
                     let known = self.view().targets.get(&target).cloned();
+                    let known = known.filter(|known| {
+                        let required = job.software_version.as_ref();
+                        required.is_none_or(|v| known.entry.software_version == *v)
+                    });
                     let Some(known) = known else {
-                        // The scheduler knows a newer registry.
+                        // The scheduler knows another registry.
                         continue;
                     };
                     let choice = Choice {
@@ -456,7 +427,7 @@
         let keep = |id: &InstanceId| !scheduling.avoids(now, id) && !asked.contains(id);
         let ids = scheduling.scheduler_ids(&self.region, keep);
         let id = if asked.is_empty() {
-            let preferred = pool::preferred(&view, &self.region, &job.service, &job.prompt, tried)?;
+            let preferred = pool::preferred(&view, &self.region, &job.demand(tried))?;
             scheduler_of(preferred, &ids)?
         } else if ids.is_empty() {
             return None;
@@ -497,6 +468,7 @@
     fn place_request(&self, job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
         WirePlaceRequest {
             service: job.service.clone(),
+            software_version: job.software_version.clone(),
             prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
             tried: tried.to_vec(),
             max_wait_ms: (job.attempts == 0).then_some(to_millis(job.max_wait)),
@@ -522,19 +494,14 @@
     /// Chooses a target without its scheduler. Cold targets and those with limits are left out, as
     /// only their schedulers know how many requests they have been sent.
     fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
-        let choice = self.query_pool(
-            &job.service,
-            &job.prompt,
-            tried,
-            |pool, now, view, query| {
-                let query = TargetQuery {
-                    warmup: (0.0, 0.0),
-                    limited: LimitedTargets::LeftOut,
-                    ..query.clone()
-                };
-                pool.choose_or_quiet(now, view, &self.region, &query, rand::random)
-            },
-        );
+        let choice = self.query_pool(job.demand(tried), |pool, now, view, query| {
+            let query = TargetQuery {
+                warmup: (0.0, 0.0),
+                limited: LimitedTargets::LeftOut,
+                ..query.clone()
+            };
+            pool.choose_or_quiet(now, view, &self.region, &query, rand::random)
+        });
         choice.into()
     }
 
@@ -552,9 +519,12 @@
         let settings = self.reloadable_settings();
         let mut scheduling = self.scheduling();
         let query = TargetQuery {
-            service: &request.service,
-            prompt: &prompt,
-            tried: &request.tried,
+            demand: Demand {
+                service: &request.service,
+                software_version: request.software_version.as_ref(),
+                prompt: &prompt,
+                tried: &request.tried,
+            },
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
             warmup: (
@@ -638,9 +608,12 @@
         let view = self.view();
         let scheduling = self.scheduling();
         let query = TargetQuery {
-            service,
-            prompt: &[],
-            tried: &[],
+            demand: Demand {
+                service,
+                software_version: None,
+                prompt: &[],
+                tried: &[],
+            },
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
             warmup: (0.0, 0.0),
@@ -674,7 +647,7 @@
 #[async_trait]
 impl PeerHandler for ReportHandler {
     fn kind(&self) -> &'static str {
-        REPORT_KIND
+        REPORT_DELIVERY.kind
     }
 
     async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -84,15 +84,24 @@
     cached_parts: HashMap<u64, Duration>,
 }
 
-/// A query for a target.
-#[derive(Debug, Clone)]
-pub struct TargetQuery<'a> {
+/// What a request asks of its target.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
     /// The service that the target must belong to.
     pub service: &'a SmolStr,
+    /// The software version that the target must run; `None` for any.
+    pub software_version: Option<&'a SmolStr>,
     /// The prompt's parts; empty for plain services.
     pub prompt: &'a [PromptPart],
     /// Targets that the request has already been tried at.
     pub tried: &'a [TargetId],
+}
+
+/// A query for a target.
+#[derive(Debug, Clone)]
+pub struct TargetQuery<'a> {
+    /// What the request asks of its target.
+    pub demand: Demand<'a>,
     /// The id of this instance.
     pub own_id: &'a str,
     /// All known instances of the region, which split the request rate that a cold target (a target
@@ -254,8 +263,9 @@
         query: &TargetQuery<'_>,
         mut draw: impl FnMut() -> f64,
     ) -> Option<Choice> {
-        let candidates = candidates(view, region, query.service);
-        let preferred_target = preferred_target(&candidates, query.prompt);
+        let demand = query.demand;
+        let candidates = candidates(view, region, demand.service, demand.software_version);
+        let preferred_target = preferred_target(&candidates, demand.prompt);
         let prefill = self.prefill;
         let mut best: Option<Choice> = None;
         let mut fallback: Option<Choice> = None;
@@ -263,7 +273,7 @@
             let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
             let started = known.entry.started_unix_ms;
             if !owned
-                || query.tried.contains(id)
+                || demand.tried.contains(id)
                 || !self.withdrawals.takes_requests(now, id, started)
                 || !self.takes_another(now, view, id, known, query)
             {
@@ -276,7 +286,7 @@
             let prefill_ms = if preferred_target == Some(id) {
                 0.0
             } else {
-                prefill.ms(state.uncached_tokens(now, query.prompt))
+                prefill.ms(state.uncached_tokens(now, demand.prompt))
             };
             let wait_ms = state
                 .expected_wait_ms(now, known.entry.slots, prefill)
@@ -440,9 +450,10 @@
         query: &TargetQuery<'_>,
     ) -> Option<QuietEnd> {
         let mut first: Option<QuietEnd> = None;
-        for (id, known) in candidates(view, region, query.service) {
+        let demand = query.demand;
+        for (id, known) in candidates(view, region, demand.service, demand.software_version) {
             let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
-            if !owned || query.tried.contains(id) {
+            if !owned || demand.tried.contains(id) {
                 continue;
             }
             let started = known.entry.started_unix_ms;
@@ -523,7 +534,7 @@
         if known.cold_until <= now {
             return true;
         }
-        let per_s = view.warmup_per_s(query.service);
+        let per_s = view.warmup_per_s(query.demand.service);
         if per_s <= 0.0 {
             return true;
         }
@@ -621,11 +632,13 @@
     &prompt[..prompt.len().saturating_sub(1)]
 }
 
-/// Returns the region's targets of a service that take new requests.
+/// Returns the region's targets of a service that take new requests and run the software version,
+/// if one is given.
 fn candidates<'a>(
     view: &'a PlatformView,
     region: &RegionId,
     service: &SmolStr,
+    software_version: Option<&SmolStr>,
 ) -> Vec<(&'a TargetId, &'a KnownTarget)> {
     let mut candidates = Vec::new();
     for (id, known) in &view.targets {
@@ -633,6 +646,9 @@
         if entry.service != *service || entry.leaving {
             continue;
         }
+        if software_version.is_some_and(|version| entry.software_version != *version) {
+            continue;
+        }
         if view.region_of(&entry.data_centre) != Some(region)
             || view.evacuated_data_centres.contains(&entry.data_centre)
         {
@@ -668,22 +684,27 @@
 pub fn preferred<'a>(
     view: &'a PlatformView,
     region: &RegionId,
-    service: &SmolStr,
-    prompt: &[PromptPart],
-    tried: &[TargetId],
+    demand: &Demand<'_>,
 ) -> Option<&'a TargetId> {
-    let mut candidates = candidates(view, region, service);
-    candidates.retain(|(id, _)| !tried.contains(id));
-    let part = shared_parts(prompt).last().or(prompt.last())?;
+    let mut candidates = candidates(view, region, demand.service, demand.software_version);
+    candidates.retain(|(id, _)| !demand.tried.contains(id));
+    let part = shared_parts(demand.prompt)
+        .last()
+        .or(demand.prompt.last())?;
     first_by_weight(&candidates, part)
 }
 
-/// Returns the number of targets of a service that take new requests, by region.
-pub fn capacity(view: &PlatformView, service: &SmolStr) -> HashMap<RegionId, u32> {
+/// Returns the number of targets of a service that take new requests and run the software version,
+/// if one is given, by region.
+pub fn capacity(
+    view: &PlatformView,
+    service: &SmolStr,
+    software_version: Option<&SmolStr>,
+) -> HashMap<RegionId, u32> {
     let mut capacity = HashMap::new();
     let regions: BTreeSet<&RegionId> = view.region_by_data_centre.values().collect();
     for region in regions {
-        let count = candidates(view, region, service).len();
+        let count = candidates(view, region, service, software_version).len();
         if count > 0 {
             let count = u32::try_from(count).unwrap_or(u32::MAX);
             capacity.insert(region.clone(), count);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -41,6 +41,8 @@
     regions: Vec<RegionId>,
     prompt: Vec<(u64, u32)>,
     resume_after: Option<SmolStr>,
+    stream: SmolStr,
+    software_version: Option<SmolStr>,
     hops: u8,
 }
 
@@ -74,6 +76,8 @@
         headers: Vec<(String, Bytes)>,
         /// The target that answers.
         target: TargetId,
+        /// The version of the target's software.
+        software_version: SmolStr,
     },
     /// The request was refused or failed.
     Refused(Refusal),
@@ -163,6 +167,8 @@
             regions: job.regions.clone(),
             prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
             resume_after: job.resume_after.clone(),
+            stream: job.stream.clone(),
+            software_version: job.software_version.clone(),
             hops: job.hops + 1,
         }
     }
@@ -214,6 +220,8 @@
             may_have_run: false,
             suspects,
             resume_after: wire.resume_after,
+            stream: wire.stream,
+            software_version: wire.software_version,
             hops: wire.hops,
         })
     }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -219,6 +219,21 @@
         }
         None
     }
+
+    /// Returns the route's service, if all its requests go to one.
+    pub fn only_service(&self) -> Option<&SmolStr> {
+        let mut weighted = self.services.iter().filter(|(_, weight)| *weight > 0);
+        match (weighted.next(), weighted.next()) {
+            (Some((name, _)), None) => Some(name),
+            _ => None,
+        }
+    }
+
+    /// Tells whether requests of the route may go to a service.
+    pub fn allows_service(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|(name, weight)| name == service && *weight > 0)
+    }
 }
 
 /// Returns whether a list of home regions allows a region; an empty list allows all regions.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,11 +20,15 @@
 use super::follow::{Follower, FollowerDeps, WithdrawalHandler};
 use super::instances::{StoreInstanceList, keep_registered};
 use super::listen::{Handler, serve};
+use super::origin_news::{
+    HistoryHandler, OriginHandler, OriginRecordHandler, OriginRecords, keep_origins,
+};
 use super::placement::{PlaceHandler, ReportHandler, Reports, send_reports};
 use super::pool::{Pool, Prefill};
 use super::quota::{Quota, follow_organisations};
 use super::send_time::SendTimeHandler;
 use super::settings::{GatewaySettings, ReloadableSettings};
+use super::stream_origin::StreamOrigins;
 use super::upstream::TargetConnections;
 use super::withdrawn::apply_withdrawals;
 use super::{Gateway, RelayedRequests, WaitHandler};
@@ -86,7 +90,8 @@
     let running = start(services, &gateway, path, peer)?;
     journal::line("start")
         .text("region", instance.region.as_str())
-        .text("front", &instance.front.to_string());
+        .text("front", &instance.front.to_string())
+        .value("first_start", gateway.first_start);
     let (stop_tx, stopped) = watch::channel(false);
     let platform: Arc<dyn Handler> = Arc::new(PlatformHandler(Arc::clone(&running.gateway)));
     let metrics: Arc<dyn Handler> = Arc::new(MetricsHandler(running.metrics.clone()));
@@ -199,6 +204,12 @@
         remote_waits: std::sync::Mutex::default(),
         scheduling: std::sync::Mutex::default(),
         reports: Reports::default(),
+        origins: std::sync::Mutex::new(StreamOrigins::new(
+            services.clock.now(),
+            Duration::from_millis(settings.stream_memory_ms),
+            settings.first_start,
+        )),
+        origin_records: OriginRecords::default(),
         typical_prefill: std::sync::Mutex::default(),
         quarantine: Arc::clone(&quarantine),
         probed: std::sync::Mutex::default(),
@@ -213,8 +224,12 @@
         .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(PlaceHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))))
-        .with_handler(Arc::new(SendTimeHandler(Arc::clone(&gateway))));
+        .with_handler(Arc::new(SendTimeHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(HistoryHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(OriginHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(OriginRecordHandler(Arc::clone(&gateway))));
     tokio::spawn(send_reports(Arc::clone(&gateway)));
+    tokio::spawn(keep_origins(Arc::clone(&gateway)));
     tokio::spawn(apply_withdrawals(Arc::clone(&gateway)));
     if let Some(handler) = limits.handler {
         server = server.with_handler(handler);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -60,6 +60,13 @@
     /// startup.
     #[serde(default = "default_entry_lapse_ms")]
     pub entry_lapse_ms: u64,
+    /// Whether the whole fleet starts for the first time; read only at startup.
+    #[serde(default)]
+    pub first_start: bool,
+    /// Longest time for which callers take up a stream after its first event, in milliseconds; read
+    /// only at startup.
+    #[serde(default = "default_stream_memory_ms")]
+    pub stream_memory_ms: u64,
     /// Round-trip time to another region, in milliseconds; read only at startup.
     #[serde(default = "default_region_round_trip_ms")]
     pub region_round_trip_ms: f64,
@@ -145,6 +152,10 @@
             let why = "it must be greater than 0 and at most a minute";
             return Some(("entry_lapse_ms", why));
         }
+        if !(1..=MAX_STREAM_MEMORY_MS).contains(&self.stream_memory_ms) {
+            let why = "it must be greater than 0 and at most an hour";
+            return Some(("stream_memory_ms", why));
+        }
         None
     }
 }
@@ -153,6 +164,9 @@
 /// as deletions are remembered (see [`super::restored`]).
 const MAX_ENTRY_LAPSE_MS: u64 = 60_000;
 
+/// Maximum time for which the origins of streams are remembered, in milliseconds.
+const MAX_STREAM_MEMORY_MS: u64 = 3_600_000;
+
 /// Maximum length of a window, in seconds.
 const MAX_WINDOW_S: f64 = 3_600.0;
 
@@ -180,6 +194,10 @@
     6_000
 }
 
+fn default_stream_memory_ms() -> u64 {
+    30_000
+}
+
 fn default_region_round_trip_ms() -> f64 {
     160.0
 }
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -243,6 +243,7 @@
             status: parts.status,
             headers,
             target: choice.id.clone(),
+            software_version: choice.known.entry.software_version.clone(),
             attempts: job.attempts,
             source: Source::Target(Box::new(TargetSource {
                 body,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,7 +9,7 @@
 use limpetstand::config::Snapshot;
 use limpetstand::gateway::dialect::{DirectoryQuery, PromptPart, TargetEntry};
 use limpetstand::gateway::platform_view::PlatformView;
-use limpetstand::gateway::pool::{Pool, Prefill, TargetQuery};
+use limpetstand::gateway::pool::{Demand, Pool, Prefill, TargetQuery};
 use limpetstand::gateway::quota::{Charge, Quota};
 use limpetstand::gateway::region::{self, RegionStats};
 use limpetstand::gateway::registry::{ENTRY_RECOVERY_TIME, KnownTarget, TargetRegistry};
@@ -346,9 +346,12 @@
 
 fn query<'a>(prompt: &'a [PromptPart], tried: &'a [TargetId]) -> TargetQuery<'a> {
     TargetQuery {
-        service: &SERVICE,
-        prompt,
-        tried,
+        demand: Demand {
+            service: &SERVICE,
+            software_version: None,
+            prompt,
+            tried,
+        },
         own_id: "i0",
         instances: &["i0"],
         warmup: (1.0, 0.0),
@@ -830,6 +833,7 @@
 fn settings_of_the_deployment_have_defaults() {
     let defaults = gateway_settings("").expect("valid");
     assert_eq!(defaults.entry_lapse_ms, 6_000);
+    assert_eq!(defaults.stream_memory_ms, 30_000);
     assert!((defaults.region_round_trip_ms - 160.0).abs() < 1e-9);
     assert!((defaults.prefill_ms_per_token - 0.032).abs() < 1e-9);
     let set = gateway_settings("entry_lapse_ms = 9000").expect("valid");
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -9,7 +9,7 @@
 use limpetstand::gateway::dialect::{PromptPart, TargetEntry};
 use limpetstand::gateway::load_shedding;
 use limpetstand::gateway::platform_view::PlatformView;
-use limpetstand::gateway::pool::{self, Choice, Pool, Prefill, TargetQuery};
+use limpetstand::gateway::pool::{self, Choice, Demand, Pool, Prefill, TargetQuery};
 use limpetstand::gateway::registry::KnownTarget;
 use limpetstand::gateway::routes::RouteTable;
 use limpetstand::gateway::scheduler::{
@@ -45,6 +45,15 @@
     ms_per_token: 0.032,
 };
 
+fn demand(prompt: &[PromptPart]) -> Demand<'_> {
+    Demand {
+        service: &SERVICE,
+        software_version: None,
+        prompt,
+        tried: &[],
+    }
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -145,7 +154,7 @@
             return entry;
         }
         let here: RegionId = "here".into();
-        let preferred = pool::preferred(&self.view, &here, &SERVICE, prompt, &[]);
+        let preferred = pool::preferred(&self.view, &here, &demand(prompt));
         let preferred = preferred.expect("a target");
         let owner = self.owned.iter().position(|o| o.contains_key(preferred));
         owner.expect("every target has a scheduler")
@@ -169,9 +178,7 @@
         let judge = self.judge(way, entry, prompt);
         let scheduled = way == Way::Scheduled;
         let query = TargetQuery {
-            service: &SERVICE,
-            prompt,
-            tried: &[],
+            demand: demand(prompt),
             own_id: &self.names[judge],
             instances: &[],
             warmup: (1.0, 0.0),
@@ -321,9 +328,7 @@
     let owned = HashMap::from([("t0".into(), ms(10_000))]);
     let mut chosen = |now| {
         let query = TargetQuery {
-            service: &SERVICE,
-            prompt: &[],
-            tried: &[],
+            demand: demand(&[]),
             own_id: "i0",
             instances: &["i0"],
             warmup: (1.0, 0.0),
