--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -547,6 +547,16 @@
         if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max)
             || quote.send_delay > MAX_SEND_DELAY.min(time_left)
         {
+            let load = pool.load(now, &quote.id);
+            journal::line("place_refused")
+                .text("service", &request.service)
+                .text("target", quote.id.as_str())
+                .value("wait_ms", format_args!("{:.0}", quote.wait_ms))
+                .value("in_flight", load.in_flight)
+                .value("pending_ms", format_args!("{:.0}", load.pending_prefill_ms))
+                .value("backlog_ms", format_args!("{:.0}", load.backlog_ms))
+                .value("targets", scheduling.scheduler.owned_since().len())
+                .value("ejected", pool.ejected_targets(now));
             return WirePlace::Overloaded(quote.wait_ms);
         }
         pool.limits().take(now, &quote.process());
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -162,6 +162,17 @@
     pub send_delay: Duration,
 }
 
+/// What a target's expected wait is made of, besides the load that it reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TargetLoad {
+    /// Requests that have been sent and not answered in full.
+    pub in_flight: u32,
+    /// Time to read the prompts of requests whose answers have not begun, in milliseconds.
+    pub pending_prefill_ms: f64,
+    /// Modelled time to read all prompts that were sent, in milliseconds.
+    pub backlog_ms: f64,
+}
+
 /// How fast the engines of targets prefill prompts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Prefill {
@@ -388,6 +399,24 @@
         }
     }
 
+    /// Returns what a target's expected wait is made of.
+    pub fn load(&self, now: Duration, id: &TargetId) -> TargetLoad {
+        let Some(state) = self.states.get(id) else {
+            return TargetLoad::default();
+        };
+        TargetLoad {
+            in_flight: state.in_flight,
+            pending_prefill_ms: self.prefill.ms(state.pending_prefill_tokens),
+            backlog_ms: state.backlog_ms_at(now),
+        }
+    }
+
+    /// Returns how many targets are ejected.
+    pub fn ejected_targets(&self, now: Duration) -> usize {
+        let ejected = self.states.values().filter(|s| s.ejected_until > now);
+        ejected.count()
+    }
+
     /// Returns the age of a target's last load report.
     pub fn load_report_age(&self, now: Duration, id: &TargetId) -> Option<Duration> {
         let (at, ..) = self.states.get(id)?.load_report?;
