Take prompts that a target never read off its backlog

Cause: a scheduler adds the prompt of each place that it gives to the modelled backlog of the target, and the end of a place that was never used left it there. Instances that cannot connect take one place after the other.

Change: a request that ends before its target has read the prompt is taken off the backlog too, also one that its caller gave up.

Evidence: a_prompt_that_its_target_never_read_is_no_backlog in tests/gateway.rs, new with this change.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -590,7 +590,7 @@
             }
             TargetEvent::Ended => {
                 if let Some(ended) = scheduler.end(reservation) {
-                    pool.record_prefill_done(&ended.target, ended.prefill_tokens);
+                    pool.record_unread(now, &ended.target, ended.prefill_tokens);
                     pool.record_end(&ended.target);
                 }
             }
@@ -604,10 +604,11 @@
 
     /// Ends the reservations whose holders have not reported in time.
     pub(super) fn expire_reservations(&self) {
-        let expired = self.scheduling().scheduler.expire(self.clock.now());
+        let now = self.clock.now();
+        let expired = self.scheduling().scheduler.expire(now);
         let mut pool = self.pool();
         for reservation in expired {
-            pool.record_prefill_done(&reservation.target, reservation.prefill_tokens);
+            pool.record_unread(now, &reservation.target, reservation.prefill_tokens);
             pool.record_end(&reservation.target);
         }
     }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -385,6 +385,17 @@
         }
     }
 
+    /// Records that a request has ended before the target has read its prompt, so that the target
+    /// reads the prompts behind it sooner.
+    pub fn record_unread(&mut self, now: Duration, id: &TargetId, tokens: u64) {
+        let prefill_ms = self.prefill.ms(tokens);
+        self.record_prefill_done(id, tokens);
+        if let Some(state) = self.states.get_mut(id) {
+            state.backlog_ms = (state.backlog_ms_at(now) - prefill_ms).max(0.0);
+            state.backlog_updated_at = now;
+        }
+    }
+
     /// Records that a request has ended.
     pub fn record_end(&mut self, id: &TargetId) {
         if let Some(state) = self.states.get_mut(id) {
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -114,8 +114,9 @@
 
 impl Drop for CountedRequest {
     fn drop(&mut self) {
+        let now = self.gateway.clock.now();
         let mut pool = self.gateway.pool();
-        pool.record_prefill_done(&self.id, self.prefill_tokens);
+        pool.record_unread(now, &self.id, self.prefill_tokens);
         pool.record_end(&self.id);
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -360,6 +360,26 @@
     }
 }
 
+#[test]
+fn a_prompt_that_its_target_never_read_is_no_backlog() {
+    let view = view(1, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::new(PREFILL);
+    let prompt = prompt(1, 1_000);
+    let mut wait_ms = |now| {
+        let choice = pool.choose(now, &view, &here, &query(&prompt, &[]), || 0.5);
+        let choice = choice.expect("a target");
+        let tokens = pool.record_send(now, &choice, &prompt, 1);
+        pool.record_unread(now, &choice.id, tokens);
+        pool.record_end(&choice.id);
+        choice.wait_ms
+    };
+    let idle_ms = wait_ms(ms(0));
+    for n in 1..50 {
+        assert!((wait_ms(ms(n)) - idle_ms).abs() < 1.0);
+    }
+}
+
 #[test]
 fn a_session_stays_at_one_target_until_that_target_has_a_backlog() {
     let view = view(4, Duration::ZERO);
