Do not blame targets for the lost links of an instance

Of the twelve engines, schedulers left out three to six at any time (`ejected` in place_refused), as instances that were cut off reported each of them as unreachable.

Cause: a failed connection was taken for a failure of the target, whatever else the instance could reach. In a cut with refused connections the same evidence counts as a crash, so prompts could have been quarantined for it.

Change: a failure is ascribed to a target only if the instance has connected to some target since the attempt began.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
-//! [`withdrawal_news`], [`stream_origin`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
+//! [`withdrawal_news`], [`stream_origin`], [`reach`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
 //! sockets nor a clock.
 
 use std::collections::HashMap;
@@ -32,6 +32,7 @@
 pub mod instances;
 mod job;
 mod late;
+mod link_check;
 mod listen;
 pub mod listeners;
 pub mod load_shedding;
@@ -42,6 +43,7 @@
 pub mod platform_view;
 pub mod pool;
 pub mod quota;
+pub mod reach;
 pub mod region;
 pub mod registry;
 mod relay;
@@ -78,6 +80,7 @@
 use self::platform_view::PlatformView;
 use self::pool::{Demand, Pool, Prefill};
 use self::quota::Quota;
+use self::reach::Reach;
 use self::relay::{WireHead, WireJob, WireOutcome, headers_to_wire};
 use self::settings::ReloadableSettings;
 use self::stream_origin::StreamOrigins;
@@ -140,6 +143,9 @@
     typical_prefill: Mutex<TypicalPrefill>,
     quarantine: Arc<QuarantineService>,
     probed: ProbedProcesses,
+    reach: Mutex<Reach>,
+    /// Held while targets are tried to find out whether this instance is cut off from all.
+    link_check: tokio::sync::Mutex<()>,
     leaving: AtomicBool,
     in_flight: InFlight,
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -245,6 +245,15 @@
                     }
                     failure
                 }
+                Err(AttemptError::CutOff(why)) => {
+                    journal::line("cut_off")
+                        .text("request", &job.id)
+                        .text("target", choice.id.as_str())
+                        .text("error", &why);
+                    let mut failure = no_target_failure(job);
+                    failure.try_other_region = true;
+                    return Err(failure);
+                }
                 Err(AttemptError::NotRun(why)) => {
                     first_send = false;
                     let refusal = if job.may_have_run {
--- a/src/gateway/late.rs
+++ b/src/gateway/late.rs
@@ -43,8 +43,10 @@
             Ok(head) => head,
             Err(e) => {
                 self.running.record_cut(false, &e.to_string());
-                self.request_guard.report(TargetEvent::Unreachable);
-                gateway.eject_target(&self.job, &self.choice, &e.to_string());
+                if !gateway.was_cut_off(self.running.began()).await {
+                    self.request_guard.report(TargetEvent::Unreachable);
+                    gateway.eject_target(&self.job, &self.choice, &e.to_string());
+                }
                 return None;
             }
         };
--- /dev/null
+++ b/src/gateway/reach.rs
@@ -0,0 +1,77 @@
+//! Decides whether this instance is cut off from the targets of its region, and which other
+//! instances are.
+//!
+//! An instance may lose its links to all targets while callers, the store and other instances still
+//! reach it. Its failed connections then say nothing about the targets. A failure is ascribed to the
+//! target only if this instance has connected to some target since the failed attempt began;
+//! otherwise it first tries to connect to a few targets.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id::InstanceId;
+
+/// How long an instance that has said that it is cut off gets no requests.
+const AVOID_TIME: Duration = Duration::from_secs(3);
+
+/// What is known of this instance's links to targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// The instance has connected to a target.
+    Connected,
+    /// The instance connects to no target.
+    CutOff,
+    /// The instance has to try.
+    Unknown,
+}
+
+/// This instance's experience with its links to targets, and what other instances say of theirs.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    connected_at: Option<Duration>,
+    is_cut_off: bool,
+    cut_off_instances: HashMap<InstanceId, Duration>,
+}
+
+impl Reach {
+    /// Records that a connection to a target has been opened. Returns whether the instance was cut
+    /// off until now.
+    pub fn record_connected(&mut self, now: Duration) -> bool {
+        self.connected_at = Some(now);
+        std::mem::take(&mut self.is_cut_off)
+    }
+
+    /// Records that none of the tried targets has accepted a connection. Returns whether that is
+    /// news.
+    pub fn record_cut_off(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_cut_off, true)
+    }
+
+    /// Tells whether the instance is known to be cut off.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
+    /// Returns what is known of the links after a failed attempt that began at `began`.
+    pub fn link_since(&self, began: Duration) -> Link {
+        if self.is_cut_off {
+            return Link::CutOff;
+        }
+        match self.connected_at {
+            Some(at) if at > began => Link::Connected,
+            _ => Link::Unknown,
+        }
+    }
+
+    /// Records that another instance has said that it is cut off from the targets of its region.
+    pub fn record_instance_cut_off(&mut self, now: Duration, id: &InstanceId) {
+        self.cut_off_instances.retain(|_, until| *until > now);
+        self.cut_off_instances.insert(id.clone(), now + AVOID_TIME);
+    }
+
+    /// Tells whether another instance has lately said that it is cut off.
+    pub fn avoids(&self, now: Duration, id: &InstanceId) -> bool {
+        let until = self.cut_off_instances.get(id);
+        until.is_some_and(|until| *until > now)
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -213,6 +213,8 @@
         typical_prefill: std::sync::Mutex::default(),
         quarantine: Arc::clone(&quarantine),
         probed: std::sync::Mutex::default(),
+        reach: std::sync::Mutex::default(),
+        link_check: tokio::sync::Mutex::default(),
         leaving: std::sync::atomic::AtomicBool::new(false),
         in_flight: InFlight::default(),
     });
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to one target and checks the head of the answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -32,6 +33,8 @@
     NotRun(String),
     /// No byte of the request reached the target.
     NotReached(String),
+    /// No byte of the request reached the target, as this instance is cut off from all targets.
+    CutOff(String),
     /// The request may have run.
     Unknown(Refusal),
     /// The target has not answered for so long that another target is asked.
@@ -49,27 +52,45 @@
     ) -> Result<Reply, AttemptError> {
         let address = choice.known.entry.address;
         let force_new = !job.kind.may_repeat();
-        let connection = match self.upstream().connection(address, force_new).await {
+        let connection = match self.connect(address, force_new).await {
             Ok(connection) => connection,
             Err(e) => {
-                if let Some(place) = place {
+                if let (AttemptError::NotReached(_), Some(place)) = (&e, place) {
                     place.report(TargetEvent::Unreachable);
                 }
-                return Err(AttemptError::NotReached(e.to_string()));
+                return Err(e);
             }
         };
         let reused = connection.is_reused();
         match self.send(job, choice, connection, place.take()).await {
             Err(AttemptError::NotReached(_)) if reused => {
                 // The target had closed the reused connection.
-                let connection = self.upstream().connection(address, true).await;
-                let connection = connection.map_err(|e| AttemptError::NotReached(e.to_string()))?;
+                let connection = self.connect(address, true).await?;
                 self.send(job, choice, connection, None).await
             }
             outcome => outcome,
         }
     }
 
+    /// Returns a connection to a target.
+    async fn connect(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        force_new: bool,
+    ) -> Result<Connection, AttemptError> {
+        let began = self.clock.now();
+        match self.upstream().connection(address, force_new).await {
+            Ok(connection) => {
+                if !connection.is_reused() {
+                    self.record_connected();
+                }
+                Ok(connection)
+            }
+            Err(e) if self.was_cut_off(began).await => Err(AttemptError::CutOff(e.to_string())),
+            Err(e) => Err(AttemptError::NotReached(e.to_string())),
+        }
+    }
+
     async fn send(
         self: &Arc<Self>,
         job: &mut Job,
@@ -125,14 +146,18 @@
             Some((connection, Ok(response))) => (connection, response),
             Some((_, Err(e))) => {
                 running.record_cut(false, &e.to_string());
-                request_guard.report(TargetEvent::Unreachable);
-                self.eject_target(job, choice, &e.to_string());
+                if !self.was_cut_off(now).await {
+                    request_guard.report(TargetEvent::Unreachable);
+                    self.eject_target(job, choice, &e.to_string());
+                }
                 let refusal = Refusal::unknown(Code::TargetFailed, e.to_string());
                 return Err(AttemptError::Unknown(refusal));
             }
             None => {
-                request_guard.report(TargetEvent::Failed);
-                self.pool().record_error(&choice.id);
+                if !self.was_cut_off(now).await {
+                    request_guard.report(TargetEvent::Failed);
+                    self.pool().record_error(&choice.id);
+                }
                 journal::line("target_silent")
                     .text("request", &job.id)
                     .text("target", choice.id.as_str())
