Judge crashes of targets also where an instance reaches no target

Found by the tests of: a_plain_request_does_not_crash_the_only_targets_of_three_regions and a_plain_request_that_becomes_harmful_does_not_crash_target_after_target failed. Where a request crashes all targets of a region at once, an instance cannot tell that from lost links, took itself for cut off since and reported no crash.

Crashes are reported again whenever the target refuses connections. Lost links alone condemn nothing: their connections break at one moment, which counts once, and no request is in flight where none can connect. Both tests pass, with the ten others of the quarantine and of instances that are cut off.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -87,14 +87,12 @@
             }
         }
         let suspects = lock(&self.probed).remove(&process).unwrap_or_default();
-        let is_cut_off = result == Probe::Refused && self.was_cut_off(at).await;
-        if result != Probe::Refused || leaves || is_cut_off {
+        if result != Probe::Refused || leaves {
             journal::line("not_blamed")
                 .text("target", process.target.as_str())
                 .value("born", process.started_unix_ms)
                 .text("probe", result.as_str())
-                .value("leaving", leaves)
-                .value("cut_off", is_cut_off);
+                .value("leaving", leaves);
             return;
         }
         let crash = Crash {
