Bound what the memory of streams' origins holds

Callers choose the ids of streams, up to the size of a head, and records were dropped only when the registry or the fleet changed. The line software_versions names services and versions.

--- a/src/gateway/origin_news.rs
+++ b/src/gateway/origin_news.rs
@@ -53,6 +53,9 @@
 /// Time between two looks of a starting instance for others.
 const STARTUP_POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// Longest time in a message, in milliseconds; longer ones could not be added to a time of the clock.
+const MAX_TIME_MS: u64 = 24 * 60 * 60 * 1000;
+
 /// The history of software versions, as encoded between instances.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireHistory {
@@ -91,14 +94,11 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Converts a time of another instance; longer ones could not be added to a time of the clock.
+/// Converts a time of another instance.
 fn bounded(ms: u64) -> Duration {
     Duration::from_millis(ms.min(MAX_TIME_MS))
 }
 
-/// Longest time in a message, in milliseconds.
-const MAX_TIME_MS: u64 = 24 * 60 * 60 * 1000;
-
 /// A record, as encoded between instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(super) struct WireRecord {
@@ -273,6 +273,11 @@
         testimonies
     }
 
+    /// Forgets the streams that callers do not take up any more.
+    pub(super) fn expire_origins(&self) {
+        lock(&self.origins).expire(self.clock.now());
+    }
+
     /// Takes over the software versions of the targets in the current view.
     fn update_software_versions(&self) {
         let view = self.view();
@@ -282,7 +287,6 @@
             let now = self.clock.now();
             let mut origins = lock(&self.origins);
             origins.update_versions(now, running);
-            origins.expire(now);
             origins.take_uncopied(now)
         };
         self.send_copies(uncopied);
@@ -344,7 +348,9 @@
         sleep(HISTORY_PERIOD).await;
     }
     let history = lock(&gateway.origins).history(gateway.clock.now());
-    journal::line("software_versions").text("seen", &format!("{:?}", history.versions));
+    let versions = history.versions.iter();
+    let seen: Vec<String> = versions.map(|(s, v, _)| format!("{s} {v}")).collect();
+    journal::line("software_versions").text("seen", &seen.join(","));
 }
 
 /// Returns the address and the incarnation of each live instance.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -284,6 +284,7 @@
         let view = gateway.view();
         gateway.pool().retain(gateway.clock.now(), &view);
         gateway.expire_reservations();
+        gateway.expire_origins();
         metrics.run_upkeep();
     }
 }
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -18,6 +18,9 @@
 /// Maximum number of streams that are remembered; beyond it the oldest are forgotten.
 const MAX_STREAMS: usize = 65_536;
 
+/// Longest id of a stream that is remembered. Callers choose the ids, whose number is bounded too.
+const MAX_ID_BYTES: usize = 256;
+
 /// Number of instances of the own region that keep a copy of a record.
 const KEEPERS_IN_REGION: usize = 2;
 
@@ -157,7 +160,7 @@
     /// should keep a copy.
     pub fn record(&mut self, now: Duration, stream: &SmolStr, origin: &Origin) -> bool {
         self.insert(now, stream, origin, true);
-        self.is_copied(now, &origin.service)
+        stream.len() <= MAX_ID_BYTES && self.is_copied(now, &origin.service)
     }
 
     /// Keeps a copy of another instance's record.
@@ -167,6 +170,9 @@
     }
 
     fn insert(&mut self, now: Duration, stream: &SmolStr, origin: &Origin, is_own: bool) {
+        if stream.len() > MAX_ID_BYTES {
+            return;
+        }
         // The registry may not have told this instance of the version yet.
         self.add_version(now, &origin.service, &origin.software_version);
         let expires_at = now + self.memory;
--- a/tests/stream_origin.rs
+++ b/tests/stream_origin.rs
@@ -285,6 +285,14 @@
     );
 }
 
+#[test]
+fn streams_with_long_ids_are_not_remembered() {
+    let mut origins = remembers(&["v1", "v2"]);
+    let long = SmolStr::from("x".repeat(257));
+    assert!(!origins.record(ms(0), &long, &origin("v1")));
+    assert_eq!(testimony(&origins, ms(1), &long).origin, None);
+}
+
 proptest! {
     /// Instances begin, restart and take up streams while versions come and go; no stream goes on at
     /// another version than the one that began it.
