Let one instance alone not make all leave out a target

Change: an instance leaves out by itself what it did not reach (`ejection`), and tells the scheduler with each request for a place. The scheduler leaves a target out for all if a second instance does not reach it before it answers any, or if there is no other.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
-//! [`withdrawal_news`], [`stream_origin`], [`reach`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
+//! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
 //! sockets nor a clock.
 
 use std::collections::HashMap;
@@ -28,6 +28,7 @@
 mod cross_region;
 pub mod dialect;
 mod directory;
+pub mod ejection;
 mod follow;
 pub mod instances;
 mod job;
@@ -73,6 +74,7 @@
 
 use self::crashes::ProbedProcesses;
 use self::dialect::{Dialect, PromptPart};
+use self::ejection::OwnEjections;
 use self::job::Job;
 use self::load_shedding::TypicalPrefill;
 use self::origin_news::OriginRecords;
@@ -144,6 +146,7 @@
     quarantine: Arc<QuarantineService>,
     probed: ProbedProcesses,
     reach: Mutex<Reach>,
+    own_ejections: Mutex<OwnEjections>,
     /// Held while targets are tried to find out whether this instance is cut off from all.
     link_check: tokio::sync::Mutex<()>,
     leaving: AtomicBool,
@@ -305,6 +308,7 @@
             software_version: None,
             prompt: &[],
             tried: &[],
+            avoided: &[],
         };
         self.query_pool(demand, |pool, now, view, query| {
             pool.evaluate(now, view, &self.region, query, rand::random)
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -424,7 +424,7 @@
 
 /// Tells whether the targets of a request have schedulers. The targets of requests without prompts
 /// report their load with each answer, and their answers take little time.
-fn is_scheduled(job: &Job) -> bool {
+pub(super) fn is_scheduled(job: &Job) -> bool {
     !job.prompt.is_empty()
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -85,6 +85,7 @@
             software_version: self.software_version.as_ref(),
             prompt: &self.prompt,
             tried,
+            avoided: &[],
         }
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -13,6 +13,7 @@
 
 use super::attempts::to_millis;
 use super::dialect::PromptPart;
+use super::ejection::ReachReports;
 use super::job::Job;
 use super::outbox::{Delivery, Outbox};
 use super::platform_view::PlatformView;
@@ -57,6 +58,9 @@
     software_version: Option<SmolStr>,
     prompt: Vec<(u64, u32)>,
     tried: Vec<TargetId>,
+    /// The instance that asks, and the targets that it does not reach.
+    asker: InstanceId,
+    avoided: Vec<TargetId>,
     /// Longest wait with which the request takes a place; `None` for any.
     max_wait_ms: Option<f64>,
     time_left_ms: u64,
@@ -256,6 +260,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Scheduling {
     scheduler: Scheduler,
+    reach_reports: ReachReports,
     by_region: HashMap<RegionId, Vec<(InstanceId, SocketAddr)>>,
     avoided_until: HashMap<InstanceId, Duration>,
     fleet: Option<Arc<Fleet>>,
@@ -293,6 +298,8 @@
             }
         }
         self.scheduler.set_owned(now, &owned);
+        self.reach_reports
+            .retain(|id| view.targets.contains_key(id));
         self.fleet = Some(fleet);
         self.view = Some(view);
     }
@@ -413,6 +420,12 @@
         (scheduler, owned_since)
     }
 
+    /// Tells whether this instance gives the places at a target.
+    pub(super) fn schedules(&self, target: &TargetId) -> bool {
+        let scheduling = self.scheduling();
+        scheduling.scheduler.owned_since().contains_key(target)
+    }
+
     /// Returns the scheduler to ask next: first that of the target that suits the prompt best, then
     /// a random one.
     fn next_scheduler(
@@ -471,6 +484,8 @@
             software_version: job.software_version.clone(),
             prompt: job.prompt.iter().map(|p| (p.id, p.tokens)).collect(),
             tried: tried.to_vec(),
+            asker: self.id.clone(),
+            avoided: lock(&self.own_ejections).ejected(self.clock.now()),
             max_wait_ms: (job.attempts == 0).then_some(to_millis(job.max_wait)),
             time_left_ms: u64::try_from(job.time_left().as_millis()).unwrap_or(u64::MAX),
             limits: self.known_limits(&job.service),
@@ -524,6 +539,7 @@
                 software_version: request.software_version.as_ref(),
                 prompt: &prompt,
                 tried: &request.tried,
+                avoided: &request.avoided,
             },
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
@@ -563,9 +579,10 @@
         pool.record_choice(now, &quote);
         let tokens = pool.record_send(now, &quote, &prompt, 1);
         drop(pool);
-        let reservation = scheduling
-            .scheduler
-            .reserve(now, quote.id.clone(), tokens, time_left);
+        let reservation =
+            scheduling
+                .scheduler
+                .reserve(now, quote.id.clone(), tokens, time_left, &request.asker);
         WirePlace::Reserved {
             reservation,
             target: quote.id,
@@ -579,8 +596,15 @@
     /// Applies a report about a place that this instance has reserved.
     fn apply_report(&self, reservation: u64, event: TargetEvent) {
         let now = self.clock.now();
+        let fleet = self.fleet();
+        let is_alone =
+            |holder: &InstanceId| fleet.live_members(&self.region).all(|m| m.id == *holder);
         let mut scheduling = lock(&self.scheduling);
-        let scheduler = &mut scheduling.scheduler;
+        let Scheduling {
+            scheduler,
+            reach_reports,
+            ..
+        } = &mut *scheduling;
         let mut pool = self.pool();
         match event {
             TargetEvent::Prefilled => {
@@ -595,9 +619,22 @@
                 }
             }
             event => {
-                if let Some(reserved) = scheduler.reservation(reservation) {
-                    pool.record_event(now, &reserved.target, event);
+                let Some(reserved) = scheduler.reservation(reservation) else {
+                    return;
+                };
+                let (target, holder) = (&reserved.target, &reserved.holder);
+                match event {
+                    TargetEvent::Succeeded | TargetEvent::Load { .. } => {
+                        reach_reports.record_answer(target);
+                    }
+                    TargetEvent::Unreachable
+                        if !reach_reports.record_not_reached(target, holder, is_alone(holder)) =>
+                    {
+                        return;
+                    }
+                    _ => {}
                 }
+                pool.record_event(now, target, event);
             }
         }
     }
@@ -624,6 +661,7 @@
                 software_version: None,
                 prompt: &[],
                 tried: &[],
+                avoided: &[],
             },
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use super::dialect::PromptPart;
+use super::ejection::Ejection;
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
 use super::scheduler::TAKEOVER_TIME;
@@ -48,15 +49,9 @@
 /// Number of prompt parts recorded for a target from which expired parts are removed.
 const MAX_CACHED_PARTS: usize = 2_048;
 
-/// Ejection time after the first failure; doubled with each consecutive failure.
-const INITIAL_EJECTION_TIME: Duration = Duration::from_millis(500);
-
 /// Time for which other requests avoid a failed target while one request probes it.
 const RECOVERY_PROBE_TIME: Duration = Duration::from_millis(300);
 
-/// Longest ejection time of a failing target.
-const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
-
 /// Weight of the newest outcome in the moving average of a target's failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 
@@ -76,8 +71,7 @@
     drain_fraction: f64,
     /// The target's last load report: its time, the running requests and the waiting requests.
     load_report: Option<(Duration, u32, u32)>,
-    consecutive_failures: u32,
-    ejected_until: Duration,
+    ejection: Ejection,
     failure_rate: f64,
     recent_sends: RecentSends,
     /// The time at which each prompt part was last sent to the target.
@@ -95,6 +89,8 @@
     pub prompt: &'a [PromptPart],
     /// Targets that the request has already been tried at.
     pub tried: &'a [TargetId],
+    /// Targets that the asking instance does not reach; chosen only if there is no other.
+    pub avoided: &'a [TargetId],
 }
 
 /// A query for a target.
@@ -259,9 +255,9 @@
             // connects.
             state.recent_sends.record(now);
         }
-        if state.consecutive_failures > 0 {
+        if state.ejection.has_failed() {
             // One request at a time probes whether the target has recovered.
-            state.ejected_until = state.ejected_until.max(now + RECOVERY_PROBE_TIME);
+            state.ejection.extend(now + RECOVERY_PROBE_TIME);
         }
     }
 
@@ -304,7 +300,7 @@
                 .max(send_delay.as_secs_f64() * 1_000.0);
             let penalty_ms = state.failure_rate * FAILURE_PENALTY_MS;
             let cost_ms = wait_ms + prefill_ms + penalty_ms + draw() * JITTER_MS;
-            let ejected = state.ejected_until > now;
+            let ejected = state.ejection.is_ejected(now) || demand.avoided.contains(id);
             let least = if ejected { &mut fallback } else { &mut best };
             if least.as_ref().is_some_and(|l| l.cost_ms <= cost_ms) {
                 continue;
@@ -424,7 +420,7 @@
 
     /// Returns how many targets are ejected.
     pub fn ejected_targets(&self, now: Duration) -> usize {
-        let ejected = self.states.values().filter(|s| s.ejected_until > now);
+        let ejected = self.states.values().filter(|s| s.ejection.is_ejected(now));
         ejected.count()
     }
 
@@ -437,8 +433,7 @@
     /// Records a successful answer, which ends the target's ejection.
     pub fn record_success(&mut self, id: &TargetId) {
         if let Some(state) = self.states.get_mut(id) {
-            state.consecutive_failures = 0;
-            state.ejected_until = Duration::ZERO;
+            state.ejection.record_success();
             state.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
         }
     }
@@ -457,11 +452,7 @@
             return Duration::ZERO;
         };
         state.failure_rate += (1.0 - state.failure_rate) * FAILURE_RATE_WEIGHT;
-        state.consecutive_failures = (state.consecutive_failures + 1).min(8);
-        let ejection = (INITIAL_EJECTION_TIME * 2_u32.pow(state.consecutive_failures - 1))
-            .min(MAX_EJECTION_TIME);
-        state.ejected_until = now + ejection;
-        ejection
+        state.ejection.record_failure(now)
     }
 
     /// The targets that take no requests for now.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -31,7 +31,7 @@
 use super::stream_origin::StreamOrigins;
 use super::upstream::TargetConnections;
 use super::withdrawn::apply_withdrawals;
-use super::{Gateway, RelayedRequests, WaitHandler};
+use super::{Gateway, RelayedRequests, WaitHandler, lock};
 use crate::in_flight::InFlight;
 use crate::journal;
 use crate::kernel::{KernelError, SharedServices, bind, own_member};
@@ -214,6 +214,7 @@
         quarantine: Arc::clone(&quarantine),
         probed: std::sync::Mutex::default(),
         reach: std::sync::Mutex::default(),
+        own_ejections: std::sync::Mutex::default(),
         link_check: tokio::sync::Mutex::default(),
         leaving: std::sync::atomic::AtomicBool::new(false),
         in_flight: InFlight::default(),
@@ -283,6 +284,7 @@
         gateway.upstream.sweep();
         let view = gateway.view();
         gateway.pool().retain(gateway.clock.now(), &view);
+        lock(&gateway.own_ejections).retain(|id| view.targets.contains_key(id));
         gateway.expire_reservations();
         gateway.expire_origins();
         metrics.run_upkeep();
--- a/src/gateway/scheduler.rs
+++ b/src/gateway/scheduler.rs
@@ -15,7 +15,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::id::TargetId;
+use crate::id::{InstanceId, TargetId};
 use crate::rendezvous::weight;
 
 /// Number of instances of a region for each scheduler.
@@ -57,6 +57,8 @@
     pub target: TargetId,
     /// Prompt tokens that the target still has to read for the request.
     pub prefill_tokens: u64,
+    /// The instance that sends the request.
+    pub holder: InstanceId,
     expires_at: Duration,
 }
 
@@ -84,18 +86,21 @@
         &self.owned_since
     }
 
-    /// Records a place at a target for a request with `time_left`; returns the reservation's id.
+    /// Records a place at a target for a request of `holder` with `time_left`; returns the
+    /// reservation's id.
     pub fn reserve(
         &mut self,
         now: Duration,
         target: TargetId,
         prefill_tokens: u64,
         time_left: Duration,
+        holder: &InstanceId,
     ) -> u64 {
         self.last_id += 1;
         let reservation = Reservation {
             target,
             prefill_tokens,
+            holder: holder.clone(),
             expires_at: now + time_left + RESERVATION_GRACE,
         };
         self.reservations.insert(self.last_id, reservation);
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -11,9 +11,8 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout};
 
-use super::Gateway;
 use super::attempt_timeout;
-use super::attempts::{format_ms, from_millis, strip_hop_by_hop_headers, to_millis};
+use super::attempts::{format_ms, from_millis, is_scheduled, strip_hop_by_hop_headers, to_millis};
 use super::dialect::{NamedRate, ResponseHead, RetryAfter, TargetHeaders};
 use super::job::{Job, Reply};
 use super::late::{LateAttempt, PendingHead};
@@ -23,6 +22,7 @@
 use super::source::{Source, TargetRequestGuard, TargetSource};
 use super::upstream::{Connection, SendError};
 use super::withdrawal::quiet_time;
+use super::{Gateway, lock};
 use crate::journal;
 use crate::refusal::{Code, Refusal};
 use crate::target::{AnswerProgress, Framing};
@@ -247,6 +247,7 @@
             }
         } else {
             self.pool().record_success(&choice.id);
+            lock(&self.own_ejections).record_success(&choice.id);
             request_guard.report(TargetEvent::Succeeded);
         }
         let length = body.size_hint().exact();
@@ -398,8 +399,14 @@
     }
 
     /// Ejects a target that failed and closes the unused connections to it.
+    ///
+    /// A target for whose places this instance is asked is ejected for all only by what all report.
     pub(super) fn eject_target(&self, job: &Job, choice: &Choice, why: &str) {
-        let ejection = self.pool().eject(self.clock.now(), &choice.id);
+        let now = self.clock.now();
+        let ejection = lock(&self.own_ejections).record_failure(now, &choice.id);
+        if !is_scheduled(job) || !self.schedules(&choice.id) {
+            self.pool().eject(now, &choice.id);
+        }
         self.upstream().close_idle(choice.known.entry.address);
         metrics::counter!("limpetstand_target_failures_total").increment(1);
         journal::line("target_failed")
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -351,6 +351,7 @@
             software_version: None,
             prompt,
             tried,
+            avoided: &[],
         },
         own_id: "i0",
         instances: &["i0"],
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -51,6 +51,7 @@
         software_version: None,
         prompt,
         tried: &[],
+        avoided: &[],
     }
 }
 
@@ -293,8 +294,8 @@
 fn reservations_end_once_and_expire() {
     let mut scheduler = Scheduler::default();
     scheduler.set_owned(ms(0), &["t0".into()]);
-    let first = scheduler.reserve(ms(0), "t0".into(), 500, ms(1_000));
-    let second = scheduler.reserve(ms(0), "t0".into(), 700, ms(60_000));
+    let first = scheduler.reserve(ms(0), "t0".into(), 500, ms(1_000), &"i0".into());
+    let second = scheduler.reserve(ms(0), "t0".into(), 700, ms(60_000), &"i1".into());
     assert_eq!(scheduler.finish_prefill(first), Some(("t0".into(), 500)));
     assert_eq!(scheduler.finish_prefill(first), Some(("t0".into(), 0)));
     assert!(scheduler.expire(ms(1_900)).is_empty());
