Wait for a request that arrives as a leaving instance stops

An instance that got SIGTERM at 9.0 read a stream's request at 11.5, sent it to a target at 11.505 and ended at 11.7, in the middle of the answer. A request that is read in these 0.2 s was not waited for.

Change: after the 0.2 s the instance looks again, and waits on.

Evidence: shutdown_does_not_cut_off_a_request_that_arrives_as_the_instance_stops fails without the change and passes three times of three with it.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -268,10 +268,17 @@
             .reloadable_settings()
             .grace
             .saturating_sub(DRAIN_MARGIN);
-        while began.elapsed() < drain_limit && gateway.in_flight.count() > 0 {
-            sleep(DRAIN_POLL_PERIOD).await;
+        let waits = || began.elapsed() < drain_limit && gateway.in_flight.count() > 0;
+        loop {
+            while waits() {
+                sleep(DRAIN_POLL_PERIOD).await;
+            }
+            sleep(CONNECTION_CLOSE_TIME).await;
+            // An open connection may have brought another request meanwhile.
+            if !waits() {
+                break;
+            }
         }
-        sleep(CONNECTION_CLOSE_TIME).await;
         // Other instances reclaim shares that are not given up in time.
         let _ = timeout(LIMIT_RELEASE_TIMEOUT, self.limiter.leave()).await;
         self.stop_peers_tx.send_replace(true);
