--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -303,14 +303,7 @@
         if let Some(wait_ms) = self.remote_waits(service).get(&self.region) {
             return Some(*wait_ms);
         }
-        let demand = Demand {
-            service,
-            software_version: None,
-            prompt: &[],
-            tried: &[],
-            avoided: &[],
-        };
-        self.query_pool(demand, |pool, now, view, query| {
+        self.query_pool(Demand::of_service(service), |pool, now, view, query| {
             pool.evaluate(now, view, &self.region, query, rand::random)
         })
         .map(|choice| choice.wait_ms)
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -2,6 +2,7 @@
 //! is cut off from its targets.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Gateway;
 use super::attempts::{attempt_failed_line, format_ms, no_target_failure, to_millis};
@@ -13,7 +14,7 @@
 use super::source::Source;
 use crate::id::RegionId;
 use crate::journal;
-use crate::member::{Fleet, Member};
+use crate::member::Member;
 use crate::peer::{PeerError, decode, encode};
 use crate::refusal::{Code, Refusal};
 
@@ -34,7 +35,9 @@
         stats: &RegionStats,
     ) -> Result<Reply, Failure> {
         let fleet = self.fleet();
-        let mut peers: Vec<&Member> = self.connected_members(&fleet, region);
+        let now = self.clock.now();
+        let mut peers: Vec<&Member> = fleet.live_members(region).collect();
+        peers.retain(|member| self.may_relay_to(now, member));
         let mut last_failure = no_target_failure(job);
         last_failure.try_other_region = true;
         let (mut unreachable, mut cut_off) = (0, 0);
@@ -141,14 +144,10 @@
         Err(last_failure)
     }
 
-    /// Returns the other live instances of a region, but those that have lately said that they are cut
-    /// off from their targets.
-    fn connected_members<'a>(&self, fleet: &'a Fleet, region: &'a RegionId) -> Vec<&'a Member> {
-        let now = self.clock.now();
-        let reach = self.reach();
-        let live = fleet.live_members(region);
-        live.filter(|m| m.id != self.id && !reach.avoids(now, &m.id))
-            .collect()
+    /// Tells whether requests may be relayed to a live instance: another one that has not lately said
+    /// that it is cut off from its targets.
+    fn may_relay_to(&self, now: Duration, member: &Member) -> bool {
+        member.id != self.id && !self.reach().avoids(now, &member.id)
     }
 
     /// Creates the failure of a relayed request that returned no answer.
@@ -182,10 +181,12 @@
             round_trip_ms: self.region_round_trip_ms,
         };
         let fleet = self.fleet();
+        let now = self.clock.now();
         let is_cut_off = self.is_cut_off();
         stats.capacity.retain(|region, _| {
             let has_links = *region == self.region && !is_cut_off;
-            has_links || !self.connected_members(&fleet, region).is_empty()
+            let mut members = fleet.live_members(region);
+            has_links || members.any(|member| self.may_relay_to(now, member))
         });
         if is_cut_off {
             // The waits of the own region are those that its other instances tell.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -656,13 +656,7 @@
         let view = self.view();
         let scheduling = self.scheduling();
         let query = TargetQuery {
-            demand: Demand {
-                service,
-                software_version: None,
-                prompt: &[],
-                tried: &[],
-                avoided: &[],
-            },
+            demand: Demand::of_service(service),
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
             warmup: (0.0, 0.0),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -93,6 +93,19 @@
     pub avoided: &'a [TargetId],
 }
 
+impl<'a> Demand<'a> {
+    /// Creates the demand of a request without a prompt that any target of a service may serve.
+    pub fn of_service(service: &'a SmolStr) -> Self {
+        Self {
+            service,
+            software_version: None,
+            prompt: &[],
+            tried: &[],
+            avoided: &[],
+        }
+    }
+}
+
 /// A query for a target.
 #[derive(Debug, Clone)]
 pub struct TargetQuery<'a> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -347,11 +347,9 @@
 fn query<'a>(prompt: &'a [PromptPart], tried: &'a [TargetId]) -> TargetQuery<'a> {
     TargetQuery {
         demand: Demand {
-            service: &SERVICE,
-            software_version: None,
             prompt,
             tried,
-            avoided: &[],
+            ..Demand::of_service(&SERVICE)
         },
         own_id: "i0",
         instances: &["i0"],
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -47,11 +47,8 @@
 
 fn demand(prompt: &[PromptPart]) -> Demand<'_> {
     Demand {
-        service: &SERVICE,
-        software_version: None,
         prompt,
-        tried: &[],
-        avoided: &[],
+        ..Demand::of_service(&SERVICE)
     }
 }
 
