--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,8 +5,8 @@
 //! in a key-value service and use header names of their own. A platform plug-in decodes the entries
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
-//! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`], [`tolerance`], [`attempt_timeout`]) use neither
-//! sockets nor a clock.
+//! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
+//! [`tolerance`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
