--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -492,6 +492,15 @@
 }
 
 /// Short requests cost a full target little and must not be refused before the long ones.
+#[test]
+fn a_stream_that_is_taken_up_waits_longer_but_not_past_half_of_its_time() {
+    let wait = load_shedding::max_wait_of_taken_up;
+    assert_eq!(wait(ms(400), ms(10_000)), ms(1_500));
+    assert_eq!(wait(ms(400), ms(1_000)), ms(500));
+    assert_eq!(wait(ms(400), ms(100)), ms(400));
+    assert_eq!(wait(ms(2_000), ms(10_000)), ms(2_000));
+}
+
 #[test]
 fn at_a_full_target_routes_with_long_prompts_are_refused_first() {
     let long = load_shedding::max_wait(ms(1_200), 5, ms(211));
