Keep slots free for more urgent requests and learn what targets take

A request now says how urgent it is (message place-ranked; schedulers of older builds get place as before). The cost of a target counts the streams that a prompt would stall. Schedulers learn how fast each target reads and for how long its slots are held; the settings and a constant are the first guess.

pool.rs and placement.rs are split: what is known of one target, and the messages.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`attempt_timeout`]) use neither sockets nor a clock.
+//! [`tolerance`], [`urgency`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -62,6 +62,7 @@
 mod target_stream;
 pub mod tolerance;
 mod upstream;
+pub mod urgency;
 pub mod warmup;
 pub mod withdrawal;
 pub mod withdrawal_news;
@@ -87,11 +88,14 @@
 use self::settings::ReloadableSettings;
 use self::stream_origin::StreamOrigins;
 use self::upstream::TargetConnections;
+use self::urgency::ServedShares;
 use crate::clock::Clock;
 use crate::id::{InstanceId, RegionId, RouteId};
 use crate::in_flight::InFlight;
 use crate::member::Fleet;
-use crate::peer::{PeerError, PeerHandler, Peers, RelayAnswer, RelayHandler, decode, encode};
+use crate::peer::{
+    PeerError, PeerHandler, Peers, RelayAnswer, RelayHandler, UnknownKinds, decode, encode,
+};
 use crate::quarantine::service::QuarantineService;
 use crate::refusal::{Code, Refusal};
 use crate::retry_budget::RetryBudgets;
@@ -144,6 +148,8 @@
     origin_records: OriginRecords,
     typical_prefill: Mutex<TypicalPrefill>,
     quarantine: Arc<QuarantineService>,
+    unknown_kinds: Mutex<UnknownKinds>,
+    served_shares: Mutex<ServedShares>,
     probed: ProbedProcesses,
     reach: Mutex<Reach>,
     own_ejections: Mutex<OwnEjections>,
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -398,6 +398,7 @@
             warmup,
             owned_since: None,
             limited: LimitedTargets::Asked,
+            more_urgent: 0.0,
         };
         run_query(&mut self.pool(), self.clock.now(), &view, &query)
     }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -11,18 +11,19 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as _, Incoming};
 use smol_str::SmolStr;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::Gateway;
 use super::answer_body::{BodyError, body_frames};
 use super::attempts::{STARTUP_WAIT, strip_hop_by_hop_headers};
 use super::dialect::RequestHead;
-use super::job::{Job, suspects};
+use super::job::{Failure, Job, Reply, suspects};
 use super::listen::Handler;
 use super::load_shedding;
 use super::pool;
 use super::quota::Charge;
 use super::routes::{CallerLimits, OrganisationPolicy, Route, RouteTable, allows_region};
+use super::{Gateway, lock};
 use crate::front::reply::refusal_json;
 use crate::id::{OrganisationId, RegionId};
 use crate::in_flight::InFlightGuard;
@@ -152,6 +153,7 @@
         let mut job = self.job(parts, &head, admitted, destination, body, deadline);
         job.suspects = suspects;
         let outcome = timeout_at(deadline, self.0.dispatch(&mut job)).await;
+        self.record_outcome(&job, &outcome);
         let reply = match outcome {
             Ok(Ok(reply)) => reply,
             Ok(Err(failure)) => {
@@ -185,6 +187,16 @@
         response.map(|()| GuardedBody::new(guard, body).boxed_unsync())
     }
 
+    /// Records whether there was room for a request.
+    fn record_outcome(&self, job: &Job, outcome: &Result<Result<Reply, Failure>, Elapsed>) {
+        let served = match outcome {
+            Ok(Ok(_)) => true,
+            Ok(Err(failure)) if failure.refusal.code() == Code::Overloaded => false,
+            _ => return,
+        };
+        lock(&self.0.served_shares).record(&job.route, served);
+    }
+
     fn job(
         &self,
         parts: http::request::Parts,
@@ -207,6 +219,7 @@
             let time_left = deadline.saturating_duration_since(Instant::now());
             max_wait = load_shedding::max_wait_of_taken_up(max_wait, time_left);
         }
+        let yields = !lock(&self.0.served_shares).is_short(&route.name);
         Job {
             id: head.id.clone(),
             route: route.name.clone(),
@@ -214,6 +227,7 @@
             service: destination.service,
             organisation: admitted.organisation.map(|(o, _)| o),
             priority,
+            yields,
             max_attempts: route.max_attempts.max(1),
             attempts: 0,
             objective: route.objective,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -32,6 +32,8 @@
     pub organisation: Option<OrganisationId>,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
+    /// Whether the request leaves slots of targets free for more urgent ones.
+    pub yields: bool,
     /// The most targets that the request may be sent to.
     pub max_attempts: u32,
     /// Number of targets that the request has been sent to.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -8,7 +8,6 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use super::attempts::to_millis;
@@ -18,14 +17,18 @@
 use super::outbox::{Delivery, Outbox};
 use super::platform_view::PlatformView;
 use super::pool::{self, Choice, Demand, TargetEvent, TargetQuery};
-use super::scheduler::{Scheduler, scheduler_of, schedulers};
+use super::scheduler::{self, Scheduler, scheduler_of, schedulers};
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
 use super::withdrawal::QuietEnd;
 use super::{Gateway, lock};
 use crate::id::{InstanceId, RegionId, TargetId};
 use crate::journal;
 use crate::member::Fleet;
-use crate::peer::{PeerError, PeerHandler, decode, encode};
+use crate::peer::{PeerError, PeerHandler, decode, decode_named, encode, encode_named};
+
+use self::wire::{WirePlace, WirePlaceRequest, WireRankedAnswer, WireRankedRequest, WireReport};
+
+mod wire;
 
 /// Timeout of a request for a place; covers a round trip within a region and a busy scheduler.
 const PLACE_TIMEOUT: Duration = Duration::from_millis(120);
@@ -51,70 +54,33 @@
 /// The kind of peer messages that request a place.
 const PLACE_KIND: &str = "place";
 
-/// A request for a place at a target.
-#[derive(Debug, Serialize, Deserialize)]
-struct WirePlaceRequest {
-    service: SmolStr,
-    software_version: Option<SmolStr>,
-    prompt: Vec<(u64, u32)>,
-    tried: Vec<TargetId>,
-    /// The instance that asks, and the targets that it does not reach.
-    asker: InstanceId,
-    avoided: Vec<TargetId>,
-    /// Longest wait with which the request takes a place; `None` for any.
-    max_wait_ms: Option<f64>,
-    time_left_ms: u64,
-    /// The limits that the service's targets have named, as the sender knows them. A scheduler that
-    /// has just started may not.
-    limits: Vec<(ProcessKey, WireLimit)>,
-}
-
-/// The answer to a request for a place.
-#[derive(Debug, Serialize, Deserialize)]
-enum WirePlace {
-    Reserved {
-        reservation: u64,
-        target: TargetId,
-        wait_ms: f64,
-        cost_ms: f64,
-        ejected: bool,
-        /// How long the request has to be held back for the limit that the target has named.
-        send_delay_ms: u32,
-    },
-    /// Every target would keep the request waiting for too long; the shortest wait.
-    Overloaded(f64),
-    NoTarget,
-    /// Every target has asked for quiet.
-    Quiet(WireQuiet),
-}
-
-/// The quiet of the target that takes requests again first, as encoded between instances.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct WireQuiet {
-    left_us: u64,
-    length_us: u64,
-}
+/// The kind of peer messages that request a place and say how urgent the request is.
+const RANKED_PLACE_KIND: &str = "place-ranked";
 
-impl From<QuietEnd> for WireQuiet {
-    fn from(quiet: QuietEnd) -> Self {
-        Self {
-            left_us: whole_micros(quiet.left),
-            length_us: whole_micros(quiet.length),
-        }
-    }
+/// How urgent a request for a place is.
+#[derive(Debug, Clone, Copy)]
+struct Urgency {
+    /// The priority; 0 is the most urgent.
+    priority: u8,
+    /// Whether the request leaves slots free for more urgent ones.
+    yields: bool,
 }
 
-impl From<WireQuiet> for QuietEnd {
-    fn from(wire: WireQuiet) -> Self {
+impl From<&Job> for Urgency {
+    fn from(job: &Job) -> Self {
         Self {
-            left: Duration::from_micros(wire.left_us),
-            length: Duration::from_micros(wire.length_us),
+            priority: job.priority,
+            yields: job.yields,
         }
     }
 }
 
-fn whole_micros(time: Duration) -> u64 {
-    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+impl Urgency {
+    /// The urgency of requests of older builds, which do not tell it.
+    const UNKNOWN: Self = Self {
+        priority: u8::MAX,
+        yields: false,
+    };
 }
 
 /// Whether and where a request may be sent.
@@ -187,66 +153,6 @@
     }
 }
 
-/// A report of one event, as encoded between instances.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(super) struct WireReport {
-    reservation: u64,
-    event: WireEvent,
-}
-
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-enum WireEvent {
-    Prefilled,
-    Load { running: u32, waiting: u32 },
-    Succeeded,
-    Failed,
-    Unreachable,
-    Ended,
-    Leaving,
-    Quiet { ms: u32 },
-}
-
-impl WireReport {
-    fn new(reservation: u64, event: TargetEvent) -> Self {
-        Self {
-            reservation,
-            event: event.into(),
-        }
-    }
-}
-
-impl From<TargetEvent> for WireEvent {
-    fn from(event: TargetEvent) -> Self {
-        match event {
-            TargetEvent::Prefilled => Self::Prefilled,
-            TargetEvent::Load { running, waiting } => Self::Load { running, waiting },
-            TargetEvent::Succeeded => Self::Succeeded,
-            TargetEvent::Failed => Self::Failed,
-            TargetEvent::Unreachable => Self::Unreachable,
-            TargetEvent::Ended => Self::Ended,
-            TargetEvent::Leaving => Self::Leaving,
-            TargetEvent::Quiet(quiet) => Self::Quiet {
-                ms: u32::try_from(quiet.as_millis()).unwrap_or(u32::MAX),
-            },
-        }
-    }
-}
-
-impl From<WireEvent> for TargetEvent {
-    fn from(event: WireEvent) -> Self {
-        match event {
-            WireEvent::Prefilled => Self::Prefilled,
-            WireEvent::Load { running, waiting } => Self::Load { running, waiting },
-            WireEvent::Succeeded => Self::Succeeded,
-            WireEvent::Failed => Self::Failed,
-            WireEvent::Unreachable => Self::Unreachable,
-            WireEvent::Ended => Self::Ended,
-            WireEvent::Leaving => Self::Leaving,
-            WireEvent::Quiet { ms } => Self::Quiet(Duration::from_millis(ms.into())),
-        }
-    }
-}
-
 /// The reports that wait to be sent to schedulers.
 pub(super) type Reports = Outbox<WireReport>;
 
@@ -310,6 +216,20 @@
         kept.map(|(id, _)| id.as_str()).collect()
     }
 
+    /// Returns how many requests the targets of a service run on average that are more urgent and for
+    /// which a request leaves slots free.
+    fn more_urgent(&self, view: &PlatformView, service: &SmolStr, urgency: Urgency) -> f64 {
+        let places = self.scheduler.places();
+        let places = places.more_urgent(service, urgency.priority);
+        if !urgency.yields || places == 0 {
+            return 0.0;
+        }
+        let owned = self.scheduler.owned_since().keys();
+        let known = owned.filter_map(|id| view.targets.get(id));
+        let targets = known.filter(|k| k.entry.service == *service).count();
+        f64::from(places) / targets.max(1) as f64
+    }
+
     fn avoids(&self, now: Duration, id: &InstanceId) -> bool {
         self.avoided_until.get(id).is_some_and(|until| now < *until)
     }
@@ -339,7 +259,10 @@
         let mut quiet: Option<QuietEnd> = None;
         while let Some((id, address)) = self.next_scheduler(job, tried, &asked) {
             let (place, scheduler) = if id == self.id {
-                (Some(self.place_here(&self.place_request(job, tried))), None)
+                {
+                    let request = self.place_request(job, tried);
+                    (Some(self.place_here(&request, job.into())), None)
+                }
             } else {
                 let place = self.ask_for_place(job, tried, &id, address).await;
                 (place, Some(address))
@@ -375,6 +298,7 @@
                         wait_ms,
                         cost_ms,
                         ejected,
+                        crowded: false,
                         send_delay: Duration::from_millis(send_delay_ms.into()),
                     };
                     return Placement::Placed(Box::new(Placed {
@@ -458,10 +382,7 @@
         id: &InstanceId,
         address: SocketAddr,
     ) -> Option<WirePlace> {
-        let body = encode(&self.place_request(job, tried)).ok()?;
-        let timeout = PLACE_TIMEOUT.min(job.time_left());
-        let answer = self.peers.ask(address, PLACE_KIND, body, timeout).await;
-        match answer.and_then(|a| decode::<WirePlace>(&a)) {
+        match self.exchange_place(job, tried, address).await {
             Ok(place) => Some(place),
             Err(e) => {
                 let until = self.clock.now() + AVOID_TIME;
@@ -478,6 +399,36 @@
         }
     }
 
+    /// Asks a scheduler for a place, in the way that its build knows.
+    async fn exchange_place(
+        &self,
+        job: &Job,
+        tried: &[TargetId],
+        to: SocketAddr,
+    ) -> Result<WirePlace, PeerError> {
+        let timeout = PLACE_TIMEOUT.min(job.time_left());
+        let request = encode(&self.place_request(job, tried))?;
+        let now = self.clock.now();
+        if lock(&self.unknown_kinds).may_know(now, to, RANKED_PLACE_KIND) {
+            let urgency = Urgency::from(job);
+            let body = encode_named(&WireRankedRequest {
+                request: request.clone(),
+                priority: urgency.priority,
+                yields: urgency.yields,
+            })?;
+            match self.peers.ask(to, RANKED_PLACE_KIND, body, timeout).await {
+                Err(PeerError::UnknownKind(kind)) => {
+                    lock(&self.unknown_kinds).record(now, to, kind);
+                }
+                answer => {
+                    let answer: WireRankedAnswer = decode_named(&answer?)?;
+                    return decode(&answer.place);
+                }
+            }
+        }
+        decode(&self.peers.ask(to, PLACE_KIND, request, timeout).await?)
+    }
+
     fn place_request(&self, job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
         WirePlaceRequest {
             service: job.service.clone(),
@@ -521,7 +472,7 @@
     }
 
     /// Reserves a place at a target that this instance schedules.
-    fn place_here(&self, request: &WirePlaceRequest) -> WirePlace {
+    fn place_here(&self, request: &WirePlaceRequest, urgency: Urgency) -> WirePlace {
         let mut prompt = Vec::with_capacity(request.prompt.len());
         for (id, tokens) in &request.prompt {
             prompt.push(PromptPart {
@@ -549,6 +500,7 @@
             ),
             owned_since: Some(scheduling.scheduler.owned_since()),
             limited: LimitedTargets::Scheduled,
+            more_urgent: scheduling.more_urgent(&view, &request.service, urgency),
         };
         let mut pool = self.pool();
         for (process, limit) in &request.limits {
@@ -560,7 +512,9 @@
             return quiet.map_or(WirePlace::NoTarget, |q| WirePlace::Quiet(q.into()));
         };
         let time_left = Duration::from_millis(request.time_left_ms);
-        if request.max_wait_ms.is_some_and(|max| quote.wait_ms > max)
+        if request
+            .max_wait_ms
+            .is_some_and(|max| quote.crowded || quote.wait_ms > max)
             || quote.send_delay > MAX_SEND_DELAY.min(time_left)
         {
             let load = pool.load(now, &quote.id);
@@ -568,21 +522,31 @@
                 .text("service", &request.service)
                 .text("target", quote.id.as_str())
                 .value("wait_ms", format_args!("{:.0}", quote.wait_ms))
+                .value("priority", urgency.priority)
+                .value("crowded", quote.crowded)
+                .value("more_urgent", format_args!("{:.1}", query.more_urgent))
                 .value("in_flight", load.in_flight)
                 .value("pending_ms", format_args!("{:.0}", load.pending_prefill_ms))
                 .value("backlog_ms", format_args!("{:.0}", load.backlog_ms))
                 .value("targets", scheduling.scheduler.owned_since().len())
                 .value("ejected", pool.ejected_targets(now));
+            if quote.crowded {
+                metrics::counter!("limpetstand_places_kept_free_total").increment(1);
+            }
             return WirePlace::Overloaded(quote.wait_ms);
         }
         pool.limits().take(now, &quote.process());
         pool.record_choice(now, &quote);
         let tokens = pool.record_send(now, &quote, &prompt, 1);
         drop(pool);
-        let reservation =
-            scheduling
-                .scheduler
-                .reserve(now, quote.id.clone(), tokens, time_left, &request.asker);
+        let placed = scheduler::Placed {
+            service: &request.service,
+            priority: urgency.priority,
+            prefill_tokens: tokens,
+            time_left,
+            holder: &request.asker,
+        };
+        let reservation = scheduling.scheduler.reserve(now, quote.id.clone(), &placed);
         WirePlace::Reserved {
             reservation,
             target: quote.id,
@@ -608,13 +572,14 @@
         let mut pool = self.pool();
         match event {
             TargetEvent::Prefilled => {
-                if let Some((target, tokens)) = scheduler.finish_prefill(reservation) {
-                    pool.record_prefill_done(&target, tokens);
+                if let Some((target, tokens, sent_at)) = scheduler.finish_prefill(reservation) {
+                    pool.record_read(now, &target, tokens, sent_at);
                 }
             }
             TargetEvent::Ended => {
                 if let Some(ended) = scheduler.end(reservation) {
                     pool.record_unread(now, &ended.target, ended.prefill_tokens);
+                    pool.record_hold(&ended.target, now.saturating_sub(ended.reserved_at));
                     pool.record_end(&ended.target);
                 }
             }
@@ -662,6 +627,7 @@
             warmup: (0.0, 0.0),
             owned_since: Some(scheduling.scheduler.owned_since()),
             limited: LimitedTargets::Scheduled,
+            more_urgent: 0.0,
         };
         let mut pool = self.pool();
         let quote = pool.evaluate(now, &view, &self.region, &query, rand::random)?;
@@ -680,7 +646,28 @@
 
     async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
         let request: WirePlaceRequest = decode(&body)?;
-        encode(&self.0.place_here(&request))
+        encode(&self.0.place_here(&request, Urgency::UNKNOWN))
+    }
+}
+
+/// Answers requests for a place that say how urgent they are.
+pub(super) struct RankedPlaceHandler(pub Arc<Gateway>);
+
+#[async_trait]
+impl PeerHandler for RankedPlaceHandler {
+    fn kind(&self) -> &'static str {
+        RANKED_PLACE_KIND
+    }
+
+    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
+        let ranked: WireRankedRequest = decode_named(&body)?;
+        let request: WirePlaceRequest = decode(&ranked.request)?;
+        let urgency = Urgency {
+            priority: ranked.priority,
+            yields: ranked.yields,
+        };
+        let place = encode(&self.0.place_here(&request, urgency))?;
+        encode_named(&WireRankedAnswer { place })
     }
 }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -12,21 +12,21 @@
 use smol_str::SmolStr;
 
 use super::dialect::PromptPart;
-use super::ejection::Ejection;
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
 use super::scheduler::TAKEOVER_TIME;
 use super::target_limits::{LimitedTargets, ProcessKey, TargetLimits};
-use super::warmup::{self, RecentSends};
+use super::urgency;
+use super::warmup;
 use super::withdrawal::{QuietEnd, Withdrawals};
 use crate::id::{RegionId, TargetId};
 use crate::rendezvous::weight;
 
-/// Delay that each request queued at a target adds to the next request, in milliseconds.
-const QUEUE_DELAY_MS: f64 = 30.0;
+pub use self::target_state::Prefill;
 
-/// Delay until the next slot of a target whose slots are all in use becomes free, in milliseconds.
-const FULL_DELAY_MS: f64 = 150.0;
+use self::target_state::TargetState;
+
+mod target_state;
 
 /// Cost added to a target that fails every request, in milliseconds; scaled by the failure rate.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
@@ -34,50 +34,12 @@
 /// Largest random cost added to a target, in milliseconds, so that equal targets share the load.
 const JITTER_MS: f64 = 2.0;
 
-/// Age up to which a target's load report is used.
-const LOAD_REPORT_MAX_AGE: Duration = Duration::from_millis(600);
-
-/// Time for which a prompt part sent to a target counts as held in the target's prefix cache.
-const CACHED_PART_MAX_AGE: Duration = Duration::from_secs(10);
-
-/// Time constant of the moving average of the prefill rate.
-const PREFILL_RATE_TIME_CONSTANT: Duration = Duration::from_secs(2);
-
-/// Smallest fraction of a target's time that is assumed to go to this instance's requests.
-const MIN_DRAIN_FRACTION: f64 = 0.2;
-
-/// Number of prompt parts recorded for a target from which expired parts are removed.
-const MAX_CACHED_PARTS: usize = 2_048;
-
 /// Time for which other requests avoid a failed target while one request probes it.
 const RECOVERY_PROBE_TIME: Duration = Duration::from_millis(300);
 
 /// Weight of the newest outcome in the moving average of a target's failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 
-/// What this instance knows about one target, mostly from its own requests.
-#[derive(Debug, Clone, Default)]
-struct TargetState {
-    started_unix_ms: u64,
-    in_flight: u32,
-    /// Tokens still to be prefilled for requests whose answers have not begun.
-    pending_prefill_tokens: u64,
-    /// Prefill work of the target that was outstanding at `backlog_updated_at`.
-    backlog_ms: f64,
-    backlog_updated_at: Duration,
-    /// Prompt tokens per second that this instance sends to the target for prefill.
-    prefill_tokens_per_s: f64,
-    /// Fraction of the target's time that other instances leave for this instance's backlog.
-    drain_fraction: f64,
-    /// The target's last load report: its time, the running requests and the waiting requests.
-    load_report: Option<(Duration, u32, u32)>,
-    ejection: Ejection,
-    failure_rate: f64,
-    recent_sends: RecentSends,
-    /// The time at which each prompt part was last sent to the target.
-    cached_parts: HashMap<u64, Duration>,
-}
-
 /// What a request asks of its target.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -124,6 +86,9 @@
     pub owned_since: Option<&'a HashMap<TargetId, Duration>>,
     /// How targets that have named a limit are treated.
     pub limited: LimitedTargets,
+    /// How many more urgent requests each target runs on average; the request leaves slots free for
+    /// these.
+    pub more_urgent: f64,
 }
 
 /// An event at a target, as seen by the instance that sent a request to it.
@@ -166,6 +131,8 @@
     pub cost_ms: f64,
     /// Whether the target is ejected and chosen only because no other target is available.
     pub ejected: bool,
+    /// Whether the target has no slot free but those that are kept for more urgent requests.
+    pub crowded: bool,
     /// How long the request has to be held back for the limit that the target has named; part of the
     /// expected wait.
     pub send_delay: Duration,
@@ -182,14 +149,6 @@
     pub backlog_ms: f64,
 }
 
-/// How fast the engines of targets prefill prompts.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Prefill {
-    /// Time for one prompt token, in milliseconds. It includes the token generation that stalls
-    /// meanwhile.
-    pub ms_per_token: f64,
-}
-
 impl Choice {
     /// Returns the process that was chosen.
     pub fn process(&self) -> ProcessKey {
@@ -197,17 +156,6 @@
     }
 }
 
-impl Prefill {
-    /// Returns the time that a target is expected to need for the prefill of prompt tokens.
-    pub fn time(self, tokens: u64) -> Duration {
-        Duration::try_from_secs_f64(self.ms(tokens) / 1_000.0).unwrap_or_default()
-    }
-
-    fn ms(self, tokens: u64) -> f64 {
-        to_f64(tokens) * self.ms_per_token
-    }
-}
-
 /// What this instance knows about the targets of its region.
 #[derive(Debug)]
 pub struct Pool {
@@ -288,6 +236,7 @@
         let preferred_target = preferred_target(&candidates, demand.prompt);
         let prefill = self.prefill;
         let mut best: Option<Choice> = None;
+        let mut crowded_best: Option<Choice> = None;
         let mut fallback: Option<Choice> = None;
         for (id, known) in candidates {
             let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
@@ -303,18 +252,26 @@
                 continue;
             };
             let state = self.state(id, known);
-            let prefill_ms = if preferred_target == Some(id) {
-                0.0
-            } else {
-                prefill.ms(state.uncached_tokens(now, demand.prompt))
-            };
+            let is_preferred = preferred_target == Some(id);
+            let (own_tokens, shared_tokens) =
+                state.tokens_to_read(now, demand.prompt, is_preferred);
+            let shared_ms = state.read_ms(prefill, shared_tokens);
+            let stall_ms = state.stalled_streams(known.entry.slots)
+                * (shared_ms + state.read_ms(prefill, own_tokens));
+            let slots = known.entry.slots;
+            let usable_slots = slots - urgency::kept_free(slots, query.more_urgent);
+            let crowded = usable_slots < slots && state.in_flight >= usable_slots;
             let wait_ms = state
-                .expected_wait_ms(now, known.entry.slots, prefill)
+                .expected_wait_ms(now, slots, usable_slots, prefill)
                 .max(send_delay.as_secs_f64() * 1_000.0);
             let penalty_ms = state.failure_rate * FAILURE_PENALTY_MS;
-            let cost_ms = wait_ms + prefill_ms + penalty_ms + draw() * JITTER_MS;
+            let cost_ms = wait_ms + shared_ms + stall_ms + penalty_ms + draw() * JITTER_MS;
             let ejected = state.ejection.is_ejected(now) || demand.avoided.contains(id);
-            let least = if ejected { &mut fallback } else { &mut best };
+            let least = match (ejected, crowded) {
+                (false, false) => &mut best,
+                (false, true) => &mut crowded_best,
+                (true, _) => &mut fallback,
+            };
             if least.as_ref().is_some_and(|l| l.cost_ms <= cost_ms) {
                 continue;
             }
@@ -324,10 +281,11 @@
                 wait_ms,
                 cost_ms,
                 ejected,
+                crowded,
                 send_delay,
             });
         }
-        best.or(fallback)
+        best.or(crowded_best).or(fallback)
     }
 
     /// Counts a request that is being sent; returns the prompt tokens that the target has to
@@ -348,14 +306,7 @@
         let tokens = own_tokens + uncached_tokens;
         state.pending_prefill_tokens += tokens;
         state.add_backlog(now, own_tokens + uncached_tokens, instances, prefill);
-        if state.cached_parts.len() > MAX_CACHED_PARTS {
-            state
-                .cached_parts
-                .retain(|_, at| *at + CACHED_PART_MAX_AGE > now);
-        }
-        for part in shared_parts(prompt) {
-            state.cached_parts.insert(part.id, now);
-        }
+        state.record_cached(now, prompt);
         tokens
     }
 
@@ -397,14 +348,30 @@
     /// Records that a request has ended before the target has read its prompt, so that the target
     /// reads the prompts behind it sooner.
     pub fn record_unread(&mut self, now: Duration, id: &TargetId, tokens: u64) {
-        let prefill_ms = self.prefill.ms(tokens);
+        let prefill = self.prefill;
         self.record_prefill_done(id, tokens);
         if let Some(state) = self.states.get_mut(id) {
-            state.backlog_ms = (state.backlog_ms_at(now) - prefill_ms).max(0.0);
+            let read_ms = state.read_ms(prefill, tokens);
+            state.backlog_ms = (state.backlog_ms_at(now) - read_ms).max(0.0);
             state.backlog_updated_at = now;
         }
     }
 
+    /// Records that the target has read `tokens` tokens of a prompt that was sent at `sent_at`.
+    pub fn record_read(&mut self, now: Duration, id: &TargetId, tokens: u64, sent_at: Duration) {
+        self.record_prefill_done(id, tokens);
+        if let Some(state) = self.states.get_mut(id) {
+            state.record_read(now, tokens, sent_at);
+        }
+    }
+
+    /// Records how long a request has held a slot of a target.
+    pub fn record_hold(&mut self, id: &TargetId, hold: Duration) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.record_hold(hold);
+        }
+    }
+
     /// Records that a request has ended.
     pub fn record_end(&mut self, id: &TargetId) {
         if let Some(state) = self.states.get_mut(id) {
@@ -426,7 +393,7 @@
         };
         TargetLoad {
             in_flight: state.in_flight,
-            pending_prefill_ms: self.prefill.ms(state.pending_prefill_tokens),
+            pending_prefill_ms: state.read_ms(self.prefill, state.pending_prefill_tokens),
             backlog_ms: state.backlog_ms_at(now),
         }
     }
@@ -597,80 +564,6 @@
     }
 }
 
-impl TargetState {
-    /// Returns the target's outstanding prefill work, in milliseconds.
-    fn backlog_ms_at(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.backlog_updated_at);
-        (self.backlog_ms - passed.as_secs_f64() * 1_000.0 * self.drain_fraction).max(0.0)
-    }
-
-    /// Adds tokens to the backlog. Each other instance is assumed to take as much of the target's
-    /// time as this instance has taken recently.
-    fn add_backlog(&mut self, now: Duration, tokens: u64, instances: usize, prefill: Prefill) {
-        let backlog_ms = self.backlog_ms_at(now) + prefill.ms(tokens);
-        let passed = now.saturating_sub(self.backlog_updated_at).as_secs_f64();
-        self.prefill_tokens_per_s *= (-passed / PREFILL_RATE_TIME_CONSTANT.as_secs_f64()).exp();
-        let other_instances = to_f64(instances.saturating_sub(1) as u64);
-        let taken_by_others =
-            other_instances * self.prefill_tokens_per_s * prefill.ms_per_token / 1_000.0;
-        self.drain_fraction = (1.0 - taken_by_others).max(MIN_DRAIN_FRACTION);
-        self.prefill_tokens_per_s += to_f64(tokens) / PREFILL_RATE_TIME_CONSTANT.as_secs_f64();
-        self.backlog_ms = backlog_ms;
-        self.backlog_updated_at = now;
-    }
-
-    /// Returns the expected wait before the target starts on another request, in milliseconds.
-    fn expected_wait_ms(&self, now: Duration, slots: u32, prefill: Prefill) -> f64 {
-        let (running, waiting) = match self.load_report {
-            Some((at, running, waiting)) if at + LOAD_REPORT_MAX_AGE > now => (running, waiting),
-            _ => (0, 0),
-        };
-        let busy = running.max(self.in_flight);
-        let ahead_of_a_slot = (busy + 1).saturating_sub(slots);
-        let full_ms = f64::from(ahead_of_a_slot) * FULL_DELAY_MS;
-        let backlog_ms = prefill
-            .ms(self.pending_prefill_tokens)
-            .max(self.backlog_ms_at(now));
-        let slot_utilisation = f64::from(busy) / f64::from(slots.max(1));
-        full_ms
-            + backlog_ms
-            + f64::from(waiting) * QUEUE_DELAY_MS
-            + slot_utilisation * QUEUE_DELAY_MS
-    }
-
-    /// Returns the tokens of the shared parts that the target does not hold.
-    fn uncached_tokens(&self, now: Duration, prompt: &[PromptPart]) -> u64 {
-        let mut uncached_tokens = 0;
-        // So many requests share the first part that every target holds it.
-        for part in shared_parts(prompt).iter().skip(1) {
-            if !self.has_cached(now, part.id) {
-                uncached_tokens += u64::from(part.tokens);
-            }
-        }
-        uncached_tokens
-    }
-
-    /// Returns the tokens of the request's own part, and those of shared parts that the target does
-    /// not hold.
-    fn prefill_tokens(&self, now: Duration, prompt: &[PromptPart]) -> (u64, u64) {
-        let own_tokens = prompt.last().map_or(0, |part| u64::from(part.tokens));
-        let mut uncached_tokens = 0;
-        for part in shared_parts(prompt) {
-            if !self.has_cached(now, part.id) {
-                uncached_tokens += u64::from(part.tokens);
-            }
-        }
-        (own_tokens, uncached_tokens)
-    }
-
-    /// Tells whether the target's prefix cache is assumed to hold a part.
-    fn has_cached(&self, now: Duration, part: u64) -> bool {
-        self.cached_parts
-            .get(&part)
-            .is_some_and(|at| *at + CACHED_PART_MAX_AGE > now)
-    }
-}
-
 /// Returns the parts that other requests may share: all but the last.
 fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
     &prompt[..prompt.len().saturating_sub(1)]
@@ -756,11 +649,3 @@
     }
     capacity
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "token counts are far below 2^52"
-)]
-fn to_f64(n: u64) -> f64 {
-    n as f64
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -214,6 +214,8 @@
             service: wire.service,
             organisation: wire.organisation,
             priority: wire.priority,
+            // The callers of this region come first.
+            yields: true,
             max_attempts: wire.max_attempts,
             attempts: wire.attempts,
             objective: Duration::from_micros(wire.objective_us),
@@ -235,3 +237,6 @@
         })
     }
 }
+
+crate::wire_format!("relayed-head", WireHead);
+crate::wire_format!("relayed-request", WireJob);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,7 +23,7 @@
 use super::origin_news::{
     HistoryHandler, OriginHandler, OriginRecordHandler, OriginRecords, keep_origins,
 };
-use super::placement::{PlaceHandler, ReportHandler, Reports, send_reports};
+use super::placement::{PlaceHandler, RankedPlaceHandler, ReportHandler, Reports, send_reports};
 use super::pool::{Pool, Prefill};
 use super::quota::{Quota, follow_organisations};
 use super::send_time::SendTimeHandler;
@@ -212,6 +212,8 @@
         origin_records: OriginRecords::default(),
         typical_prefill: std::sync::Mutex::default(),
         quarantine: Arc::clone(&quarantine),
+        unknown_kinds: std::sync::Mutex::default(),
+        served_shares: std::sync::Mutex::default(),
         probed: std::sync::Mutex::default(),
         reach: std::sync::Mutex::default(),
         own_ejections: std::sync::Mutex::default(),
@@ -226,6 +228,7 @@
         .with_handler(Arc::new(QuarantineHandler(quarantine)))
         .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(PlaceHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(RankedPlaceHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(SendTimeHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(HistoryHandler(Arc::clone(&gateway))))
--- a/src/gateway/scheduler.rs
+++ b/src/gateway/scheduler.rs
@@ -15,6 +15,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
+use super::urgency::PlacesByPriority;
 use crate::id::{InstanceId, TargetId};
 use crate::rendezvous::weight;
 
@@ -59,6 +62,12 @@
     pub prefill_tokens: u64,
     /// The instance that sends the request.
     pub holder: InstanceId,
+    /// The target's service.
+    pub service: SmolStr,
+    /// The request's priority; 0 is the most urgent.
+    pub priority: u8,
+    /// When the place was given.
+    pub reserved_at: Duration,
     expires_at: Duration,
 }
 
@@ -67,9 +76,25 @@
 pub struct Scheduler {
     owned_since: HashMap<TargetId, Duration>,
     reservations: HashMap<u64, Reservation>,
+    places: PlacesByPriority,
     last_id: u64,
 }
 
+/// A request that is given a place.
+#[derive(Debug, Clone, Copy)]
+pub struct Placed<'a> {
+    /// The target's service.
+    pub service: &'a SmolStr,
+    /// The request's priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Prompt tokens that the target still has to read for the request.
+    pub prefill_tokens: u64,
+    /// The time until the request's deadline.
+    pub time_left: Duration,
+    /// The instance that sends the request.
+    pub holder: &'a InstanceId,
+}
+
 impl Scheduler {
     /// Sets the targets that the instance schedules from now on.
     pub fn set_owned(&mut self, now: Duration, owned: &[TargetId]) {
@@ -86,47 +111,56 @@
         &self.owned_since
     }
 
-    /// Records a place at a target for a request of `holder` with `time_left`; returns the
-    /// reservation's id.
-    pub fn reserve(
-        &mut self,
-        now: Duration,
-        target: TargetId,
-        prefill_tokens: u64,
-        time_left: Duration,
-        holder: &InstanceId,
-    ) -> u64 {
+    /// Records a place at a target; returns the reservation's id.
+    pub fn reserve(&mut self, now: Duration, target: TargetId, placed: &Placed<'_>) -> u64 {
         self.last_id += 1;
         let reservation = Reservation {
             target,
-            prefill_tokens,
-            holder: holder.clone(),
-            expires_at: now + time_left + RESERVATION_GRACE,
+            prefill_tokens: placed.prefill_tokens,
+            holder: placed.holder.clone(),
+            service: placed.service.clone(),
+            priority: placed.priority,
+            reserved_at: now,
+            expires_at: now + placed.time_left + RESERVATION_GRACE,
         };
+        self.places.add(placed.service, placed.priority);
         self.reservations.insert(self.last_id, reservation);
         self.last_id
     }
 
+    /// The places that are held, by priority.
+    pub fn places(&self) -> &PlacesByPriority {
+        &self.places
+    }
+
     /// Returns a reservation that has not ended.
     pub fn reservation(&self, id: u64) -> Option<&Reservation> {
         self.reservations.get(&id)
     }
 
-    /// Records that the target has read the prompt; returns the target and the tokens.
-    pub fn finish_prefill(&mut self, id: u64) -> Option<(TargetId, u64)> {
+    /// Records that the target has read the prompt; returns the target, the tokens, and when the
+    /// place was given.
+    pub fn finish_prefill(&mut self, id: u64) -> Option<(TargetId, u64, Duration)> {
         let reservation = self.reservations.get_mut(&id)?;
         let tokens = std::mem::take(&mut reservation.prefill_tokens);
-        Some((reservation.target.clone(), tokens))
+        Some((reservation.target.clone(), tokens, reservation.reserved_at))
     }
 
     /// Ends a reservation.
     pub fn end(&mut self, id: u64) -> Option<Reservation> {
-        self.reservations.remove(&id)
+        let ended = self.reservations.remove(&id)?;
+        self.places.remove(&ended.service, ended.priority);
+        Some(ended)
     }
 
     /// Ends the reservations whose holders have not reported in time.
     pub fn expire(&mut self, now: Duration) -> Vec<Reservation> {
         let expired = self.reservations.extract_if(|_, r| r.expires_at < now);
-        expired.map(|(_, reservation)| reservation).collect()
+        let expired: Vec<Reservation> = expired.map(|(_, reservation)| reservation).collect();
+        for reservation in &expired {
+            self.places
+                .remove(&reservation.service, reservation.priority);
+        }
+        expired
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -356,6 +356,7 @@
         warmup: (1.0, 0.0),
         owned_since: None,
         limited: LimitedTargets::Asked,
+        more_urgent: 0.0,
     }
 }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use limpetstand::gateway::dialect::{PromptPart, TargetEntry};
@@ -13,10 +13,10 @@
 use limpetstand::gateway::registry::KnownTarget;
 use limpetstand::gateway::routes::RouteTable;
 use limpetstand::gateway::scheduler::{
-    INSTANCES_PER_SCHEDULER, Scheduler, TAKEOVER_TIME, scheduler_of, schedulers,
+    INSTANCES_PER_SCHEDULER, Placed, Scheduler, TAKEOVER_TIME, scheduler_of, schedulers,
 };
 use limpetstand::gateway::target_limits::LimitedTargets;
-use limpetstand::id::{RegionId, TargetId};
+use limpetstand::id::{InstanceId, RegionId, TargetId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol_str::SmolStr;
@@ -40,6 +40,8 @@
 
 static SERVICE: SmolStr = SmolStr::new_static("s");
 
+static HOLDER: LazyLock<InstanceId> = LazyLock::new(|| "i0".into());
+
 /// How fast targets read prompts.
 const PREFILL: Prefill = Prefill {
     ms_per_token: 0.032,
@@ -182,6 +184,7 @@
             warmup: (1.0, 0.0),
             owned_since: scheduled.then_some(&self.owned[judge]),
             limited: LimitedTargets::Scheduled,
+            more_urgent: 0.0,
         };
         let here: RegionId = "here".into();
         let pool = &mut self.pools[judge];
@@ -291,15 +294,25 @@
 fn reservations_end_once_and_expire() {
     let mut scheduler = Scheduler::default();
     scheduler.set_owned(ms(0), &["t0".into()]);
-    let first = scheduler.reserve(ms(0), "t0".into(), 500, ms(1_000), &"i0".into());
-    let second = scheduler.reserve(ms(0), "t0".into(), 700, ms(60_000), &"i1".into());
-    assert_eq!(scheduler.finish_prefill(first), Some(("t0".into(), 500)));
-    assert_eq!(scheduler.finish_prefill(first), Some(("t0".into(), 0)));
+    let placed = |prefill_tokens, time_left| Placed {
+        service: &SERVICE,
+        priority: 0,
+        prefill_tokens,
+        time_left,
+        holder: &HOLDER,
+    };
+    let first = scheduler.reserve(ms(0), "t0".into(), &placed(500, ms(1_000)));
+    let second = scheduler.reserve(ms(0), "t0".into(), &placed(700, ms(60_000)));
+    assert_eq!(scheduler.places().more_urgent(&SERVICE, 1), 2);
+    let read = |tokens| Some(("t0".into(), tokens, ms(0)));
+    assert_eq!(scheduler.finish_prefill(first), read(500));
+    assert_eq!(scheduler.finish_prefill(first), read(0));
     assert!(scheduler.expire(ms(1_900)).is_empty());
     assert_eq!(scheduler.expire(ms(2_100)).len(), 1);
     assert_eq!(scheduler.end(first), None);
     assert_eq!(scheduler.end(second).map(|r| r.prefill_tokens), Some(700));
     assert_eq!(scheduler.end(second), None);
+    assert_eq!(scheduler.places().more_urgent(&SERVICE, 1), 0);
     // A target keeps its scheduler's time across updates of the list.
     scheduler.set_owned(ms(5_000), &["t0".into(), "t1".into()]);
     assert_eq!(scheduler.owned_since()[&"t0".into()], ms(0));
@@ -332,6 +345,7 @@
             warmup: (1.0, 0.0),
             owned_since: Some(&owned),
             limited: LimitedTargets::Scheduled,
+            more_urgent: 0.0,
         };
         pool.choose(now, &view, &here, &query, || 0.5).map(|c| c.id)
     };
