Keep targets that fall over from turning requests away

A target may say in its answers (Server-Brittle) that it falls over when it turns away more than some requests a second. No code read this.

All requests for such a target now go through its scheduler, also those without a prompt and those of an instance that has not yet had an answer of the service. The scheduler gives no more places than there are slots, less one in eight, and asks the target for its load when it takes it over. Requests for places carry what the asker has heard; schedulers of older builds ignore it and do as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`attempt_timeout`]) use neither sockets nor a clock.
+//! [`tolerance`], [`urgency`], [`brittle`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,6 +22,7 @@
 mod answer_body;
 pub mod attempt_timeout;
 mod attempts;
+pub mod brittle;
 mod caller_stream;
 mod callers;
 mod crashes;
@@ -36,6 +37,7 @@
 mod link_check;
 mod listen;
 pub mod listeners;
+mod load_query;
 pub mod load_shedding;
 pub mod mirror;
 mod origin_news;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -108,7 +108,7 @@
             let is_local = job.regions.contains(&self.region)
                 && !tried.contains(&self.region)
                 && !self.is_cut_off();
-            let placement = if is_local && is_scheduled(job) {
+            let placement = if is_local && self.is_scheduled(job) {
                 Some(self.place(job, &job.silent_targets).await)
             } else {
                 None
@@ -331,7 +331,7 @@
     }
 
     async fn choose(self: &Arc<Self>, job: &Job, tried: &[TargetId]) -> Placement {
-        if is_scheduled(job) {
+        if self.is_scheduled(job) {
             return self.place(job, tried).await;
         }
         for _ in 0..MAX_TIMES_ASKED {
@@ -364,6 +364,13 @@
         Placement::Overloaded(to_millis(MAX_SEND_DELAY))
     }
 
+    /// Tells whether a request goes to a target through its scheduler: it has a prompt, or its service
+    /// may have brittle targets. The other targets report their load with each answer, and their
+    /// answers take little time.
+    pub(super) fn is_scheduled(&self, job: &Job) -> bool {
+        !job.prompt.is_empty() || self.pool().brittle().schedules(&job.service)
+    }
+
     /// Calls `run_query` with the pool and a query built from the demand, the region's known
     /// instances and the warm-up bounds.
     pub(super) fn query_pool<T>(
@@ -423,12 +430,6 @@
         .ms("time_left_ms", job.time_left())
 }
 
-/// Tells whether the targets of a request have schedulers. The targets of requests without prompts
-/// report their load with each answer, and their answers take little time.
-pub(super) fn is_scheduled(job: &Job) -> bool {
-    !job.prompt.is_empty()
-}
-
 /// Tells whether a request was refused since it would have waited for too long.
 fn is_overloaded(failure: &Failure) -> bool {
     failure.attempts == 0 && failure.refusal.code() == Code::Overloaded
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -153,6 +153,9 @@
     pub retry_after: Option<RetryAfter>,
     /// The request rate that the target, which is in need, names for now.
     pub rate: Option<NamedRate>,
+    /// How many requests a second the target can turn away for want of room without falling over, if
+    /// it says so.
+    pub brittle: Option<NamedRate>,
     /// How long the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
@@ -182,6 +185,17 @@
     /// Reads the head of a target's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Returns the path at which a target reports its load without taking a slot; `None` if targets do
+    /// not offer it.
+    fn load_report_path(&self) -> Option<&str> {
+        None
+    }
+
+    /// Reads a target's load report: its running and its waiting requests; `None` if it is malformed.
+    fn read_load_report(&self, _body: &[u8]) -> Option<(u32, u32)> {
+        None
+    }
+
     /// Returns the path of the readiness probe.
     fn ready_path(&self) -> &str;
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -17,6 +17,7 @@
 use super::outbox::{Delivery, Outbox};
 use super::platform_view::PlatformView;
 use super::pool::{self, Choice, Demand, TargetEvent, TargetQuery};
+use super::registry::KnownTarget;
 use super::scheduler::{self, Scheduler, scheduler_of, schedulers};
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
 use super::withdrawal::QuietEnd;
@@ -299,6 +300,7 @@
                         cost_ms,
                         ejected,
                         crowded: false,
+                        full: false,
                         send_delay: Duration::from_millis(send_delay_ms.into()),
                     };
                     return Placement::Placed(Box::new(Placed {
@@ -363,7 +365,7 @@
         let scheduling = self.scheduling();
         let keep = |id: &InstanceId| !scheduling.avoids(now, id) && !asked.contains(id);
         let ids = scheduling.scheduler_ids(&self.region, keep);
-        let id = if asked.is_empty() {
+        let id = if asked.is_empty() && !job.prompt.is_empty() {
             let preferred = pool::preferred(&view, &self.region, &job.demand(tried))?;
             scheduler_of(preferred, &ids)?
         } else if ids.is_empty() {
@@ -415,6 +417,7 @@
                 request: request.clone(),
                 priority: urgency.priority,
                 yields: urgency.yields,
+                brittle: self.known_brittle(&job.service),
             })?;
             match self.peers.ask(to, RANKED_PLACE_KIND, body, timeout).await {
                 Err(PeerError::UnknownKind(kind)) => {
@@ -457,6 +460,20 @@
         limits
     }
 
+    /// Returns what targets of a service have said of the requests that they can turn away.
+    fn known_brittle(&self, service: &SmolStr) -> Vec<(ProcessKey, WireLimit)> {
+        let now = self.clock.now();
+        let view = self.view();
+        let mut brittle = Vec::new();
+        for (process, said) in self.pool().brittle().said() {
+            let known = view.targets.get(&process.0);
+            if known.is_some_and(|k| k.entry.service == *service) {
+                brittle.push((process.clone(), WireLimit::new(now, said)));
+            }
+        }
+        brittle
+    }
+
     /// Chooses a target without its scheduler. Cold targets and those with limits are left out, as
     /// only their schedulers know how many requests they have been sent.
     fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
@@ -515,6 +532,7 @@
         if request
             .max_wait_ms
             .is_some_and(|max| quote.crowded || quote.wait_ms > max)
+            || quote.full
             || quote.send_delay > MAX_SEND_DELAY.min(time_left)
         {
             let load = pool.load(now, &quote.id);
@@ -524,13 +542,17 @@
                 .value("wait_ms", format_args!("{:.0}", quote.wait_ms))
                 .value("priority", urgency.priority)
                 .value("crowded", quote.crowded)
+                .value("full", quote.full)
                 .value("more_urgent", format_args!("{:.1}", query.more_urgent))
                 .value("in_flight", load.in_flight)
                 .value("pending_ms", format_args!("{:.0}", load.pending_prefill_ms))
                 .value("backlog_ms", format_args!("{:.0}", load.backlog_ms))
                 .value("targets", scheduling.scheduler.owned_since().len())
                 .value("ejected", pool.ejected_targets(now));
-            if quote.crowded {
+            if quote.full {
+                metrics::counter!("limpetstand_places_at_brittle_targets_refused_total")
+                    .increment(1);
+            } else if quote.crowded {
                 metrics::counter!("limpetstand_places_kept_free_total").increment(1);
             }
             return WirePlace::Overloaded(quote.wait_ms);
@@ -604,6 +626,28 @@
         }
     }
 
+    /// Returns the brittle targets that this instance schedules and whose load it does not know.
+    pub(super) fn targets_of_unknown_load(&self) -> Vec<(TargetId, KnownTarget)> {
+        let view = self.view();
+        let mut unknown = Vec::new();
+        if self.pool().brittle().is_empty() {
+            return unknown;
+        }
+        let owned = self.scheduling().scheduler.owned_since().clone();
+        let now = self.clock.now();
+        let mut pool = self.pool();
+        for (id, since) in owned {
+            let Some(known) = view.targets.get(&id) else {
+                continue;
+            };
+            let process = (id.clone(), known.entry.started_unix_ms);
+            if pool.brittle().is_brittle(&process) && !pool.knows_load(now, &id, known, since) {
+                unknown.push((id, known.clone()));
+            }
+        }
+        unknown
+    }
+
     /// Ends the reservations whose holders have not reported in time.
     pub(super) fn expire_reservations(&self) {
         let now = self.clock.now();
@@ -666,6 +710,12 @@
             priority: ranked.priority,
             yields: ranked.yields,
         };
+        let now = self.0.clock.now();
+        for (process, said) in &ranked.brittle {
+            let mut pool = self.0.pool();
+            pool.brittle()
+                .hear(process, &request.service, said.limit(now));
+        }
         let place = encode(&self.0.place_here(&request, urgency))?;
         encode_named(&WireRankedAnswer { place })
     }
--- a/src/gateway/placement/wire.rs
+++ b/src/gateway/placement/wire.rs
@@ -39,6 +39,10 @@
     pub(super) priority: u8,
     /// Whether the request leaves slots free for more urgent ones.
     pub(super) yields: bool,
+    /// What the service's targets have said of the requests that they can turn away, as the sender
+    /// knows it.
+    #[serde(default)]
+    pub(super) brittle: Vec<(ProcessKey, WireLimit)>,
 }
 
 /// The answer to a [`WireRankedRequest`].
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -11,6 +11,7 @@
 
 use smol_str::SmolStr;
 
+use super::brittle::BrittleTargets;
 use super::dialect::PromptPart;
 use super::platform_view::PlatformView;
 use super::registry::KnownTarget;
@@ -133,6 +134,9 @@
     pub ejected: bool,
     /// Whether the target has no slot free but those that are kept for more urgent requests.
     pub crowded: bool,
+    /// Whether the target is brittle and has no slot that is known to be free. It must not be sent the
+    /// request.
+    pub full: bool,
     /// How long the request has to be held back for the limit that the target has named; part of the
     /// expected wait.
     pub send_delay: Duration,
@@ -163,6 +167,7 @@
     states: HashMap<TargetId, TargetState>,
     withdrawals: Withdrawals,
     limits: TargetLimits,
+    brittle: BrittleTargets,
 }
 
 impl Pool {
@@ -173,6 +178,7 @@
             states: HashMap::new(),
             withdrawals: Withdrawals::default(),
             limits: TargetLimits::default(),
+            brittle: BrittleTargets::default(),
         }
     }
 
@@ -187,6 +193,9 @@
         draw: impl FnMut() -> f64,
     ) -> Option<Choice> {
         let choice = self.evaluate(now, view, region, query, draw)?;
+        if choice.full {
+            return None;
+        }
         self.record_choice(now, &choice);
         Some(choice)
     }
@@ -240,6 +249,8 @@
         let mut fallback: Option<Choice> = None;
         for (id, known) in candidates {
             let owned = query.owned_since.is_none_or(|o| o.contains_key(id));
+            let owned_since = query.owned_since.and_then(|o| o.get(id)).copied();
+            let slots = known.entry.slots;
             let started = known.entry.started_unix_ms;
             if !owned
                 || demand.tried.contains(id)
@@ -251,14 +262,21 @@
             let Some(send_delay) = self.send_delay(now, id, known, query) else {
                 continue;
             };
+            let process = (id.clone(), started);
+            let is_brittle = self.brittle.is_brittle(&process);
+            if is_brittle && query.limited == LimitedTargets::LeftOut {
+                continue;
+            }
             let state = self.state(id, known);
+            let full = is_brittle
+                && query.limited == LimitedTargets::Scheduled
+                && !state.has_known_room(now, slots, owned_since);
             let is_preferred = preferred_target == Some(id);
             let (own_tokens, shared_tokens) =
                 state.tokens_to_read(now, demand.prompt, is_preferred);
             let shared_ms = state.read_ms(prefill, shared_tokens);
-            let stall_ms = state.stalled_streams(known.entry.slots)
-                * (shared_ms + state.read_ms(prefill, own_tokens));
-            let slots = known.entry.slots;
+            let stall_ms =
+                state.stalled_streams(slots) * (shared_ms + state.read_ms(prefill, own_tokens));
             let usable_slots = slots - urgency::kept_free(slots, query.more_urgent);
             let crowded = usable_slots < slots && state.in_flight >= usable_slots;
             let wait_ms = state
@@ -267,7 +285,7 @@
             let penalty_ms = state.failure_rate * FAILURE_PENALTY_MS;
             let cost_ms = wait_ms + shared_ms + stall_ms + penalty_ms + draw() * JITTER_MS;
             let ejected = state.ejection.is_ejected(now) || demand.avoided.contains(id);
-            let least = match (ejected, crowded) {
+            let least = match (ejected, crowded || full) {
                 (false, false) => &mut best,
                 (false, true) => &mut crowded_best,
                 (true, _) => &mut fallback,
@@ -282,6 +300,7 @@
                 cost_ms,
                 ejected,
                 crowded,
+                full,
                 send_delay,
             });
         }
@@ -383,9 +402,24 @@
     pub fn record_load_report(&mut self, now: Duration, id: &TargetId, running: u32, waiting: u32) {
         if let Some(state) = self.states.get_mut(id) {
             state.load_report = Some((now, running, waiting));
+            state.foreign = running
+                .saturating_add(waiting)
+                .saturating_sub(state.in_flight);
         }
     }
 
+    /// Tells whether this instance, the scheduler of a target since `since`, knows how many requests
+    /// the target has.
+    pub fn knows_load(
+        &mut self,
+        now: Duration,
+        id: &TargetId,
+        known: &KnownTarget,
+        since: Duration,
+    ) -> bool {
+        self.state(id, known).knows_load(now, since)
+    }
+
     /// Returns what a target's expected wait is made of.
     pub fn load(&self, now: Duration, id: &TargetId) -> TargetLoad {
         let Some(state) = self.states.get(id) else {
@@ -451,6 +485,11 @@
         self.withdrawals.takes_requests(now, &choice.id, started)
     }
 
+    /// The targets that fall over when they turn too many requests away.
+    pub fn brittle(&mut self) -> &mut BrittleTargets {
+        &mut self.brittle
+    }
+
     /// Returns the quiet that ends first of the targets that a query allows, if all of them are quiet
     /// or leave.
     pub fn quiet_left(
@@ -483,10 +522,12 @@
             let listed = view.targets.get(id)?;
             Some(listed.entry.started_unix_ms)
         });
-        self.limits.expire(now, |(id, started)| {
+        let is_listed = |(id, started): &ProcessKey| {
             let listed = view.targets.get(id);
             listed.is_some_and(|known| known.entry.started_unix_ms == *started)
-        });
+        };
+        self.limits.expire(now, is_listed);
+        self.brittle.expire(now, is_listed);
         self.states
             .retain(|id, state| state.in_flight > 0 || view.targets.contains_key(id));
     }
--- a/src/gateway/pool/target_state.rs
+++ b/src/gateway/pool/target_state.rs
@@ -46,6 +46,13 @@
 /// prompt stalls them.
 const STALL_WEIGHT: f64 = 0.5;
 
+/// Time for which a scheduler sends nothing to a brittle target whose load it cannot learn otherwise.
+const UNKNOWN_LOAD_TIME: Duration = Duration::from_secs(5);
+
+/// One in this many slots of a brittle target is left free, at least one, as a request that its
+/// caller has given up may still hold its slot.
+const SPARE_SLOTS_PART: u32 = 8;
+
 /// How fast the engines of targets prefill prompts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Prefill {
@@ -70,6 +77,8 @@
     pub(super) drain_fraction: f64,
     /// The target's last load report: its time, the running requests and the waiting requests.
     pub(super) load_report: Option<(Duration, u32, u32)>,
+    /// Requests at the target, by its last load report, that this instance has not counted.
+    pub(super) foreign: u32,
     pub(super) ejection: Ejection,
     pub(super) failure_rate: f64,
     pub(super) recent_sends: RecentSends,
@@ -209,6 +218,36 @@
         in_flight * utilisation * STALL_WEIGHT
     }
 
+    /// Tells whether a slot of the target is known to be free to this instance, which has been its
+    /// scheduler since `owned_since`.
+    pub(super) fn has_known_room(
+        &self,
+        now: Duration,
+        slots: u32,
+        owned_since: Option<Duration>,
+    ) -> bool {
+        let since = owned_since.unwrap_or_default();
+        let spare = (slots / SPARE_SLOTS_PART)
+            .max(1)
+            .min(slots.saturating_sub(1));
+        let sure_slots = slots - spare;
+        if self.knows_load(now, since) {
+            return self.in_flight.saturating_add(self.foreign) < sure_slots;
+        }
+        // If the target does not tell its load when it is asked, one request finds it out.
+        let reported_at = self.load_report.map_or(since, |(at, ..)| at.max(since));
+        self.in_flight == 0 && now >= reported_at + UNKNOWN_LOAD_TIME
+    }
+
+    /// Tells whether a scheduler since `since` knows how many requests the target has: the target has
+    /// told it since then that it has no others, or lately how many others it has.
+    pub(super) fn knows_load(&self, now: Duration, since: Duration) -> bool {
+        let Some((at, ..)) = self.load_report.filter(|(at, ..)| *at >= since) else {
+            return false;
+        };
+        self.foreign == 0 || at + LOAD_REPORT_MAX_AGE > now
+    }
+
     /// Returns the tokens of the request's own part, and those of the shared parts that the target
     /// does not hold.
     pub(super) fn tokens_to_read(
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::follow::{Follower, FollowerDeps, WithdrawalHandler};
 use super::instances::{StoreInstanceList, keep_registered};
 use super::listen::{Handler, serve};
+use super::load_query::ask_for_loads;
 use super::origin_news::{
     HistoryHandler, OriginHandler, OriginRecordHandler, OriginRecords, keep_origins,
 };
@@ -244,6 +245,7 @@
     tokio::spawn(server.serve(listener, peers_stopped));
     let (withdraw_tx, withdrawn) = watch::channel(false);
     tokio::spawn(keep_registered(own, Arc::clone(&services.store), withdrawn));
+    tokio::spawn(ask_for_loads(Arc::clone(&gateway)));
     tokio::spawn(upkeep(Arc::clone(&gateway), services.metrics.clone()));
     Ok(Running {
         gateway,
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::attempt_timeout;
-use super::attempts::{format_ms, from_millis, is_scheduled, strip_hop_by_hop_headers, to_millis};
+use super::attempts::{format_ms, from_millis, strip_hop_by_hop_headers, to_millis};
 use super::dialect::{NamedRate, ResponseHead, RetryAfter, TargetHeaders};
 use super::job::{Job, Reply};
 use super::late::{LateAttempt, PendingHead};
@@ -215,6 +215,7 @@
         }
         self.record_withdrawal(job, choice, &response_head, &request_guard);
         self.record_rate(job, choice, response_head.rate.as_ref(), running.began());
+        self.record_brittle(job, choice, response_head.brittle.as_ref(), running.began());
         if response_head.not_run {
             return Err(AttemptError::NotRun(format!(
                 "the target is full: {}",
@@ -368,6 +369,35 @@
             .value("per_s", format_rate(limit.per_s));
     }
 
+    /// Records whether an answer says that its target is brittle, to a request sent at `sent_at`. A
+    /// target that names no number is brittle too.
+    fn record_brittle(
+        &self,
+        job: &Job,
+        choice: &Choice,
+        named: Option<&NamedRate>,
+        sent_at: Duration,
+    ) {
+        let per_s = named.map(|rate| match rate {
+            NamedRate::PerSecond(per_s) => *per_s,
+            NamedRate::Malformed(_) => 0.0,
+        });
+        let process = choice.process();
+        let now = self.clock.now();
+        let changed =
+            self.pool()
+                .brittle()
+                .record_answer(now, &process, &job.service, per_s, sent_at);
+        if changed {
+            metrics::counter!("limpetstand_targets_brittle_total").increment(1);
+            journal::line("target_brittle")
+                .text("request", &job.id)
+                .text("target", choice.id.as_str())
+                .value("born", process.1)
+                .value("turns_away_per_s", format_rate(per_s));
+        }
+    }
+
     /// Builds the request to a target.
     fn build_request(
         &self,
@@ -404,7 +434,7 @@
     pub(super) fn eject_target(&self, job: &Job, choice: &Choice, why: &str) {
         let now = self.clock.now();
         let ejection = lock(&self.own_ejections).record_failure(now, &choice.id);
-        if !is_scheduled(job) || !self.schedules(&choice.id) {
+        if !self.is_scheduled(job) || !self.schedules(&choice.id) {
             self.pool().eject(now, &choice.id);
         }
         self.upstream().close_idle(choice.known.entry.address);
--- a/src/gateway/target_limits.rs
+++ b/src/gateway/target_limits.rs
@@ -156,10 +156,14 @@
         self.get(process)?.per_s
     }
 
+    /// Returns what processes have said last, also that they have no limit any more.
+    pub fn all(&self) -> impl Iterator<Item = (&ProcessKey, TargetLimit)> {
+        self.processes.iter().map(|(p, known)| (p, known.limit))
+    }
+
     /// Returns the processes that have a limit.
     pub fn in_force(&self) -> impl Iterator<Item = (&ProcessKey, TargetLimit)> {
-        let limits = self.processes.iter().map(|(p, known)| (p, known.limit));
-        limits.filter(|(_, limit)| limit.per_s.is_some())
+        self.all().filter(|(_, limit)| limit.per_s.is_some())
     }
 
     /// Returns how long a request has to be held back that this instance, the scheduler of the
