Count the streams that a prompt stalls in the choice of a region

A long prompt stayed in its region until its own wait there was longer than elsewhere by the round trip and a margin. By then the streams beside it, of requests that may run nowhere else, stood still most of the time. What a request costs in a region now includes shared parts that are read anew and the delay of the streams that its prompt stalls. Regions are asked for it (message room, wait for older builds), and the answer to a request for a place carries it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,8 +8,6 @@
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
 //! [`tolerance`], [`urgency`], [`brittle`], [`attempt_timeout`]) use neither sockets nor a clock.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -48,6 +46,7 @@
 pub mod quota;
 pub mod reach;
 pub mod region;
+mod region_figures;
 pub mod registry;
 mod relay;
 pub mod restored;
@@ -83,9 +82,10 @@
 use self::origin_news::OriginRecords;
 use self::placement::{Reports, Scheduling};
 use self::platform_view::PlatformView;
-use self::pool::{Demand, Pool, Prefill};
+use self::pool::{Pool, Prefill};
 use self::quota::Quota;
 use self::reach::Reach;
+use self::region_figures::RegionFigures;
 use self::relay::{WireHead, WireJob, WireOutcome, headers_to_wire};
 use self::settings::ReloadableSettings;
 use self::stream_origin::StreamOrigins;
@@ -95,36 +95,11 @@
 use crate::id::{InstanceId, RegionId, RouteId};
 use crate::in_flight::InFlight;
 use crate::member::Fleet;
-use crate::peer::{
-    PeerError, PeerHandler, Peers, RelayAnswer, RelayHandler, UnknownKinds, decode, encode,
-};
+use crate::peer::{Peers, RelayAnswer, RelayHandler, UnknownKinds, decode, encode};
 use crate::quarantine::service::QuarantineService;
 use crate::refusal::{Code, Refusal};
 use crate::retry_budget::RetryBudgets;
 
-/// Maximum age of an expected wait that another region reported.
-const MAX_WAIT_AGE: Duration = Duration::from_millis(1_500);
-
-/// Expected wait in this region, in milliseconds, above which other regions are queried.
-const WAIT_QUERY_THRESHOLD_MS: f64 = 150.0;
-
-/// Minimum time between two queries for the waits of a service.
-const WAIT_QUERY_PERIOD: Duration = Duration::from_millis(400);
-
-/// Timeout of a wait query to an instance of another region.
-const WAIT_QUERY_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// The kind of peer messages that query expected waits.
-const WAIT_KIND: &str = "wait";
-
-/// Expected queueing times (waits) that other regions reported, and the time of the latest query
-/// for each service.
-#[derive(Debug, Default)]
-struct RegionWaits {
-    reported: HashMap<(RegionId, SmolStr), (Duration, f64)>,
-    queried_at: HashMap<SmolStr, Duration>,
-}
-
 /// The gateway of one instance.
 pub struct Gateway {
     id: InstanceId,
@@ -143,7 +118,7 @@
     quota: Quota,
     pool: Mutex<Pool>,
     retries: Mutex<RetryBudgets<SmolStr>>,
-    remote_waits: Mutex<RegionWaits>,
+    region_figures: Mutex<RegionFigures>,
     scheduling: Mutex<Scheduling>,
     reports: Reports,
     origins: Mutex<StreamOrigins>,
@@ -229,108 +204,6 @@
         let instances = self.fleet_size();
         lock(&self.retries).take(self.clock.now(), &job.service, &retry_bound, instances)
     }
-
-    fn record_remote_wait(&self, region: &RegionId, service: &SmolStr, wait_ms: Option<f64>) {
-        let Some(wait_ms) = wait_ms else {
-            return;
-        };
-        let now = self.clock.now();
-        let key = (region.clone(), service.clone());
-        lock(&self.remote_waits)
-            .reported
-            .insert(key, (now, wait_ms));
-    }
-
-    /// Returns the expected waits for a service that other regions reported within the last
-    /// [`MAX_WAIT_AGE`].
-    fn remote_waits(&self, service: &SmolStr) -> HashMap<RegionId, f64> {
-        let now = self.clock.now();
-        let mut waits = HashMap::new();
-        for ((region, reported_service), (at, wait)) in &lock(&self.remote_waits).reported {
-            if reported_service == service && *at + MAX_WAIT_AGE > now {
-                waits.insert(region.clone(), *wait);
-            }
-        }
-        waits
-    }
-
-    /// Queries a random scheduler of each other region for its expected wait, if the expected
-    /// wait in this region is long.
-    fn query_remote_waits(self: &Arc<Self>, service: &SmolStr, local_wait_ms: f64) {
-        if local_wait_ms < WAIT_QUERY_THRESHOLD_MS {
-            return;
-        }
-        let now = self.clock.now();
-        {
-            let mut waits = lock(&self.remote_waits);
-            let queried_at = waits.queried_at.get(service).copied();
-            if queried_at.is_some_and(|at| at + WAIT_QUERY_PERIOD > now) {
-                return;
-            }
-            waits.queried_at.insert(service.clone(), now);
-        }
-        for region in &self.regions {
-            if *region == self.region {
-                continue;
-            }
-            let peers = self.schedulers_of(region);
-            if peers.is_empty() {
-                continue;
-            }
-            let peer = peers[rand::random_range(0..peers.len())];
-            let gateway = Arc::clone(self);
-            tokio::spawn(gateway.query_wait(peer, region.clone(), service.clone()));
-        }
-    }
-
-    async fn query_wait(self: Arc<Self>, peer: SocketAddr, region: RegionId, service: SmolStr) {
-        let Ok(body) = encode(&service) else {
-            return;
-        };
-        // If the region does not answer, its previous wait stays in use until it expires.
-        let Ok(answer) = self
-            .peers
-            .ask(peer, WAIT_KIND, body, WAIT_QUERY_TIMEOUT)
-            .await
-        else {
-            return;
-        };
-        match decode::<Option<f64>>(&answer) {
-            Ok(wait_ms) => self.record_remote_wait(&region, &service, wait_ms),
-            Err(e) => log::warn!("ignored a malformed wait from peer {peer}: {e}"),
-        }
-    }
-
-    /// Returns the shortest expected wait of a request without a prompt in this region, in
-    /// milliseconds: at the targets that this instance schedules, or else as a scheduler has lately
-    /// told it.
-    fn min_wait(&self, service: &SmolStr) -> Option<f64> {
-        if let Some(wait_ms) = self.min_scheduled_wait(service) {
-            return Some(wait_ms);
-        }
-        if let Some(wait_ms) = self.remote_waits(service).get(&self.region) {
-            return Some(*wait_ms);
-        }
-        self.query_pool(Demand::of_service(service), |pool, now, view, query| {
-            pool.evaluate(now, view, &self.region, query, rand::random)
-        })
-        .map(|choice| choice.wait_ms)
-    }
-}
-
-/// Answers wait queries of other regions.
-struct WaitHandler(Arc<Gateway>);
-
-#[async_trait]
-impl PeerHandler for WaitHandler {
-    fn kind(&self) -> &'static str {
-        WAIT_KIND
-    }
-
-    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
-        let service: SmolStr = decode(&body)?;
-        encode(&self.0.min_wait(&service))
-    }
 }
 
 /// Runs requests that instances of other regions relay to this one.
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -173,9 +173,11 @@
         placement: Option<&Placement>,
     ) -> RegionStats {
         let view = self.view();
+        let costs = self.region_costs(job);
         let mut stats = RegionStats {
             capacity: pool::capacity(&view, &job.service, job.software_version.as_ref()),
-            wait_ms: self.remote_waits(&job.service),
+            wait_ms: costs.wait_ms,
+            added_cost_ms: costs.added_cost_ms,
             own_targets_ejected: false,
             max_wait_ms: None,
             round_trip_ms: self.region_round_trip_ms,
@@ -192,16 +194,23 @@
             // The waits of the own region are those that its other instances tell.
             return stats;
         }
-        let (wait_ms, ejected) = match placement {
-            Some(Placement::Placed(placed)) => (Some(placed.choice.wait_ms), placed.choice.ejected),
-            Some(placement) => (placement.wait_ms(), false),
-            None => self.local_quote(job),
+        let (wait_ms, added_ms, ejected) = match placement {
+            Some(Placement::Placed(placed)) => {
+                let choice = &placed.choice;
+                (Some(choice.wait_ms), choice.added_ms, choice.ejected)
+            }
+            Some(placement) => (placement.wait_ms(), 0.0, false),
+            None => {
+                let (wait_ms, ejected) = self.local_quote(job);
+                (wait_ms, 0.0, ejected)
+            }
         };
+        stats.added_cost_ms.insert(self.region.clone(), added_ms);
         match wait_ms {
             Some(wait_ms) => {
                 stats.own_targets_ejected = ejected;
                 stats.wait_ms.insert(self.region.clone(), wait_ms);
-                self.query_remote_waits(&job.service, wait_ms);
+                self.ask_regions(job, wait_ms + added_ms);
             }
             // No target of this region takes the request, for example because all targets are cold
             // and have reached their warm-up rate.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -163,6 +163,23 @@
     gateway.reports.send_all(peers, REPORT_DELIVERY).await;
 }
 
+/// A scheduler's answer to a request for a place.
+#[derive(Debug)]
+struct PlaceAnswer {
+    place: WirePlace,
+    /// What the request costs at the place beyond its wait, in milliseconds.
+    added_ms: f64,
+}
+
+impl From<WirePlace> for PlaceAnswer {
+    fn from(place: WirePlace) -> Self {
+        Self {
+            place,
+            added_ms: 0.0,
+        }
+    }
+}
+
 /// The schedulers of each region, as this instance sees the fleet.
 #[derive(Debug, Default)]
 pub(super) struct Scheduling {
@@ -259,16 +276,18 @@
         let mut overloaded: Option<f64> = None;
         let mut quiet: Option<QuietEnd> = None;
         while let Some((id, address)) = self.next_scheduler(job, tried, &asked) {
-            let (place, scheduler) = if id == self.id {
-                {
-                    let request = self.place_request(job, tried);
-                    (Some(self.place_here(&request, job.into())), None)
-                }
+            let (answer, scheduler) = if id == self.id {
+                let request = self.place_request(job, tried);
+                (Some(self.place_here(&request, job.into())), None)
             } else {
-                let place = self.ask_for_place(job, tried, &id, address).await;
-                (place, Some(address))
+                let answer = self.ask_for_place(job, tried, &id, address).await;
+                (answer, Some(address))
             };
             asked.push(id);
+            let (place, added_ms) = match answer {
+                Some(answer) => (Some(answer.place), answer.added_ms),
+                None => (None, 0.0),
+            };
             match place {
                 Some(WirePlace::Reserved {
                     reservation,
@@ -301,6 +320,7 @@
                         ejected,
                         crowded: false,
                         full: false,
+                        added_ms,
                         send_delay: Duration::from_millis(send_delay_ms.into()),
                     };
                     return Placement::Placed(Box::new(Placed {
@@ -383,7 +403,7 @@
         tried: &[TargetId],
         id: &InstanceId,
         address: SocketAddr,
-    ) -> Option<WirePlace> {
+    ) -> Option<PlaceAnswer> {
         match self.exchange_place(job, tried, address).await {
             Ok(place) => Some(place),
             Err(e) => {
@@ -407,7 +427,7 @@
         job: &Job,
         tried: &[TargetId],
         to: SocketAddr,
-    ) -> Result<WirePlace, PeerError> {
+    ) -> Result<PlaceAnswer, PeerError> {
         let timeout = PLACE_TIMEOUT.min(job.time_left());
         let request = encode(&self.place_request(job, tried))?;
         let now = self.clock.now();
@@ -425,11 +445,15 @@
                 }
                 answer => {
                     let answer: WireRankedAnswer = decode_named(&answer?)?;
-                    return decode(&answer.place);
+                    return Ok(PlaceAnswer {
+                        place: decode(&answer.place)?,
+                        added_ms: answer.added_ms,
+                    });
                 }
             }
         }
-        decode(&self.peers.ask(to, PLACE_KIND, request, timeout).await?)
+        let answer = self.peers.ask(to, PLACE_KIND, request, timeout).await?;
+        Ok(PlaceAnswer::from(decode::<WirePlace>(&answer)?))
     }
 
     fn place_request(&self, job: &Job, tried: &[TargetId]) -> WirePlaceRequest {
@@ -489,7 +513,7 @@
     }
 
     /// Reserves a place at a target that this instance schedules.
-    fn place_here(&self, request: &WirePlaceRequest, urgency: Urgency) -> WirePlace {
+    fn place_here(&self, request: &WirePlaceRequest, urgency: Urgency) -> PlaceAnswer {
         let mut prompt = Vec::with_capacity(request.prompt.len());
         for (id, tokens) in &request.prompt {
             prompt.push(PromptPart {
@@ -526,7 +550,9 @@
         let quote = pool.evaluate(now, &view, &self.region, &query, rand::random);
         let Some(quote) = quote else {
             let quiet = pool.quiet_left(now, &view, &self.region, &query);
-            return quiet.map_or(WirePlace::NoTarget, |q| WirePlace::Quiet(q.into()));
+            return quiet
+                .map_or(WirePlace::NoTarget, |q| WirePlace::Quiet(q.into()))
+                .into();
         };
         let time_left = Duration::from_millis(request.time_left_ms);
         if request
@@ -555,7 +581,7 @@
             } else if quote.crowded {
                 metrics::counter!("limpetstand_places_kept_free_total").increment(1);
             }
-            return WirePlace::Overloaded(quote.wait_ms);
+            return WirePlace::Overloaded(quote.wait_ms).into();
         }
         pool.limits().take(now, &quote.process());
         pool.record_choice(now, &quote);
@@ -569,13 +595,16 @@
             holder: &request.asker,
         };
         let reservation = scheduling.scheduler.reserve(now, quote.id.clone(), &placed);
-        WirePlace::Reserved {
-            reservation,
-            target: quote.id,
-            wait_ms: quote.wait_ms,
-            cost_ms: quote.cost_ms,
-            ejected: quote.ejected,
-            send_delay_ms: u32::try_from(quote.send_delay.as_millis()).unwrap_or(u32::MAX),
+        PlaceAnswer {
+            place: WirePlace::Reserved {
+                reservation,
+                target: quote.id,
+                wait_ms: quote.wait_ms,
+                cost_ms: quote.cost_ms,
+                ejected: quote.ejected,
+                send_delay_ms: u32::try_from(quote.send_delay.as_millis()).unwrap_or(u32::MAX),
+            },
+            added_ms: quote.added_ms,
         }
     }
 
@@ -659,13 +688,20 @@
         }
     }
 
-    /// Returns the shortest expected wait at the targets that this instance schedules.
-    pub(super) fn min_scheduled_wait(&self, service: &SmolStr) -> Option<f64> {
+    /// Returns the target that suits a prompt best of those that this instance schedules.
+    pub(super) fn best_scheduled(
+        &self,
+        service: &SmolStr,
+        prompt: &[PromptPart],
+    ) -> Option<Choice> {
         let now = self.clock.now();
         let view = self.view();
         let scheduling = self.scheduling();
         let query = TargetQuery {
-            demand: Demand::of_service(service),
+            demand: Demand {
+                prompt,
+                ..Demand::of_service(service)
+            },
             own_id: self.id.as_str(),
             instances: &[self.id.as_str()],
             warmup: (0.0, 0.0),
@@ -674,8 +710,7 @@
             more_urgent: 0.0,
         };
         let mut pool = self.pool();
-        let quote = pool.evaluate(now, &view, &self.region, &query, rand::random)?;
-        Some(quote.wait_ms)
+        pool.evaluate(now, &view, &self.region, &query, rand::random)
     }
 }
 
@@ -690,7 +725,7 @@
 
     async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
         let request: WirePlaceRequest = decode(&body)?;
-        encode(&self.0.place_here(&request, Urgency::UNKNOWN))
+        encode(&self.0.place_here(&request, Urgency::UNKNOWN).place)
     }
 }
 
@@ -716,8 +751,11 @@
             pool.brittle()
                 .hear(process, &request.service, said.limit(now));
         }
-        let place = encode(&self.0.place_here(&request, urgency))?;
-        encode_named(&WireRankedAnswer { place })
+        let answer = self.0.place_here(&request, urgency);
+        encode_named(&WireRankedAnswer {
+            place: encode(&answer.place)?,
+            added_ms: answer.added_ms,
+        })
     }
 }
 
--- a/src/gateway/placement/wire.rs
+++ b/src/gateway/placement/wire.rs
@@ -50,6 +50,9 @@
 pub(in crate::gateway) struct WireRankedAnswer {
     /// The encoded [`WirePlace`].
     pub(super) place: Bytes,
+    /// What the request costs at the place beyond its wait, in milliseconds.
+    #[serde(default)]
+    pub(super) added_ms: f64,
 }
 
 /// The answer to a request for a place.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -132,6 +132,9 @@
     pub cost_ms: f64,
     /// Whether the target is ejected and chosen only because no other target is available.
     pub ejected: bool,
+    /// The part of the cost that is time to read shared parts and the delay of the streams that the
+    /// prompt stalls, in milliseconds.
+    pub added_ms: f64,
     /// Whether the target has no slot free but those that are kept for more urgent requests.
     pub crowded: bool,
     /// Whether the target is brittle and has no slot that is known to be free. It must not be sent the
@@ -299,6 +302,7 @@
                 wait_ms,
                 cost_ms,
                 ejected,
+                added_ms: shared_ms + stall_ms,
                 crowded,
                 full,
                 send_delay,
@@ -606,7 +610,7 @@
 }
 
 /// Returns the parts that other requests may share: all but the last.
-fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
+pub(super) fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
     &prompt[..prompt.len().saturating_sub(1)]
 }
 
--- a/src/gateway/region.rs
+++ b/src/gateway/region.rs
@@ -3,6 +3,10 @@
 //! When the instance's own region may not serve the request or has no available target, the
 //! request goes to another allowed region. When the own region's targets have a long backlog, the
 //! request goes to a region that is faster by more than the round trip costs.
+//!
+//! What a request costs in a region is not its own wait alone: while a target reads its prompt, the
+//! streams that run there stand still. So a long prompt leaves a region whose targets are full of
+//! streams before its own wait there is long.
 
 use std::collections::HashMap;
 
@@ -19,6 +23,9 @@
     pub capacity: HashMap<RegionId, u32>,
     /// Expected wait in milliseconds by region, where known.
     pub wait_ms: HashMap<RegionId, f64>,
+    /// What the request costs in addition to its wait, in milliseconds by region, where known: reading
+    /// shared parts anew, and the delay of the streams that its prompt stalls.
+    pub added_cost_ms: HashMap<RegionId, f64>,
     /// Whether all targets of the own region are ejected after recent failures.
     pub own_targets_ejected: bool,
     /// Longest wait of the request at a target, in milliseconds, if a region has refused it because
@@ -29,6 +36,15 @@
     pub round_trip_ms: f64,
 }
 
+impl RegionStats {
+    /// Returns what the request costs in a region, in milliseconds; 0 if nothing is known of it.
+    fn cost_ms(&self, region: &RegionId) -> f64 {
+        let wait_ms = self.wait_ms.get(region).copied().unwrap_or(0.0);
+        let added_ms = self.added_cost_ms.get(region).copied().unwrap_or(0.0);
+        wait_ms + added_ms
+    }
+}
+
 /// Chooses an allowed region that has targets and has not been tried.
 ///
 /// `draw` is a random number in `0..1` that spreads requests over the other regions.
@@ -52,34 +68,33 @@
             own_available = true;
             continue;
         }
-        let wait_ms = stats.wait_ms.get(region).copied();
-        others.push((region, wait_ms.unwrap_or(0.0), f64::from(*count)));
+        others.push((region, stats.cost_ms(region), f64::from(*count)));
     }
     if let Some(max_wait_ms) = stats.max_wait_ms {
-        others.retain(|(region, wait_ms, _)| {
-            let known = stats.wait_ms.contains_key(*region);
-            *wait_ms <= max_wait_ms && (known || tried.len() <= 1)
+        others.retain(|(region, ..)| match stats.wait_ms.get(*region) {
+            Some(wait_ms) => *wait_ms <= max_wait_ms,
+            None => tried.len() <= 1,
         });
     }
-    let own_wait_ms = stats.wait_ms.get(own_region).copied().unwrap_or(0.0);
+    let own_cost_ms = stats.cost_ms(own_region);
     if own_available
         && (others.is_empty()
-            || (!stats.own_targets_ejected && own_wait_ms < stats.round_trip_ms + MIN_GAIN_MS))
+            || (!stats.own_targets_ejected && own_cost_ms < stats.round_trip_ms + MIN_GAIN_MS))
     {
         return Some(own_region.clone());
     }
     if own_available && !stats.own_targets_ejected {
-        // Only a region whose wait is known to be shorter is worth the round trip.
-        others.retain(|(region, wait_ms, _)| {
+        // Only a region that is known to cost less is worth the round trip.
+        others.retain(|(region, cost_ms, _)| {
             stats.wait_ms.contains_key(*region)
-                && wait_ms + stats.round_trip_ms + MIN_GAIN_MS < own_wait_ms
+                && cost_ms + stats.round_trip_ms + MIN_GAIN_MS < own_cost_ms
         });
         if others.is_empty() {
             return Some(own_region.clone());
         }
     }
     let weight =
-        |(_, wait_ms, count): &(&RegionId, f64, f64)| count / (stats.round_trip_ms + wait_ms);
+        |(_, cost_ms, count): &(&RegionId, f64, f64)| count / (stats.round_trip_ms + cost_ms);
     let total: f64 = others.iter().map(weight).sum();
     let mut remaining = draw * total;
     for other in &others {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,12 +27,13 @@
 use super::placement::{PlaceHandler, RankedPlaceHandler, ReportHandler, Reports, send_reports};
 use super::pool::{Pool, Prefill};
 use super::quota::{Quota, follow_organisations};
+use super::region_figures::{RoomHandler, WaitHandler};
 use super::send_time::SendTimeHandler;
 use super::settings::{GatewaySettings, ReloadableSettings};
 use super::stream_origin::StreamOrigins;
 use super::upstream::TargetConnections;
 use super::withdrawn::apply_withdrawals;
-use super::{Gateway, RelayedRequests, WaitHandler, lock};
+use super::{Gateway, RelayedRequests, lock};
 use crate::in_flight::InFlight;
 use crate::journal;
 use crate::kernel::{KernelError, SharedServices, bind, own_member};
@@ -202,7 +203,7 @@
         quota: Quota::new(Arc::clone(&limits.limiter), snapshot, services.clock),
         pool: std::sync::Mutex::new(Pool::new(prefill)),
         retries: std::sync::Mutex::default(),
-        remote_waits: std::sync::Mutex::default(),
+        region_figures: std::sync::Mutex::default(),
         scheduling: std::sync::Mutex::default(),
         reports: Reports::default(),
         origins: std::sync::Mutex::new(StreamOrigins::new(
@@ -228,6 +229,7 @@
         .with_handler(follower)
         .with_handler(Arc::new(QuarantineHandler(quarantine)))
         .with_handler(Arc::new(WaitHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(RoomHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(PlaceHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(RankedPlaceHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))))
--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -138,7 +138,7 @@
 
     /// Lets requests end, and targets that fell over return.
     fn step(&mut self, now: u64) {
-        if now % ASKED_EVERY_MS == 0 {
+        if now.is_multiple_of(ASKED_EVERY_MS) {
             self.ask_for_loads(now);
         }
         for (id, target) in &mut self.targets {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -628,6 +628,41 @@
     assert!(combined_priority(Some(200), 200) <= 9);
 }
 
+/// While a target reads a long prompt, the streams that run there stand still. So such a prompt leaves
+/// a region whose targets are full of streams for one with room, and a short one stays.
+#[test]
+fn a_long_prompt_leaves_a_region_full_of_streams_and_a_short_one_stays() {
+    let mut view = view(1, Duration::ZERO);
+    for known in view.targets.values_mut() {
+        known.entry.slots = 64;
+    }
+    let here: RegionId = "here".into();
+    let mut pool = Pool::new(PREFILL);
+    let mut now = SECOND;
+    let mut costs = |tokens| {
+        now += SECOND;
+        let prompt = [PromptPart { id: 7, tokens }];
+        let quote = pool.evaluate(now, &view, &here, &query(&prompt, &[]), || 0.5);
+        let quote = quote.expect("a target");
+        let mut stats = regions(
+            &[("here", 1), ("near", 1)],
+            &[("here", quote.wait_ms), ("near", 0.0)],
+        );
+        stats.added_cost_ms.insert(here.clone(), quote.added_ms);
+        let all = [here.clone(), "near".into()];
+        let chosen = region::choose(&here, &all, &[], &stats, 0.5).expect("a region");
+        let unread = pool.record_send(now, &quote, &prompt, 1);
+        pool.record_prefill_done(&quote.id, unread);
+        chosen
+    };
+    assert_eq!(costs(3_000), here, "no streams run");
+    for _ in 0..50 {
+        costs(0);
+    }
+    assert_eq!(costs(3_000), "near".into());
+    assert_eq!(costs(100), here);
+}
+
 #[test]
 fn a_status_implies_not_run_only_if_the_request_has_not_run() {
     let refused = |code| Refusal::not_run(code, "").status_by_ran();
@@ -717,6 +752,7 @@
     RegionStats {
         capacity: capacity.iter().map(|(r, n)| ((*r).into(), *n)).collect(),
         wait_ms: waits.iter().map(|(r, w)| ((*r).into(), *w)).collect(),
+        added_cost_ms: HashMap::new(),
         own_targets_ejected: false,
         max_wait_ms: None,
         round_trip_ms: 160.0,
