Fuzz the registered messages and take any load that a target reports

A load of 4,294,967,295 running requests overflowed in the wait at a target; builds without overflow checks took such a target for an idle one. Mutations of the kept messages are decoded by each format.

--- a/src/gateway/pool/target_state.rs
+++ b/src/gateway/pool/target_state.rs
@@ -173,7 +173,7 @@
             _ => (0, 0),
         };
         let busy = running.max(self.in_flight);
-        let ahead_of_a_slot = (busy + 1).saturating_sub(usable_slots);
+        let ahead_of_a_slot = busy.saturating_add(1).saturating_sub(usable_slots);
         let full_ms = f64::from(ahead_of_a_slot) * self.slot_delay_ms(slots);
         let backlog_ms = self
             .read_ms(prefill, self.pending_prefill_tokens)
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -628,6 +628,18 @@
     assert!(combined_priority(Some(200), 200) <= 9);
 }
 
+#[test]
+fn a_target_may_report_any_load() {
+    let view = view(1, Duration::ZERO);
+    let here = "here".into();
+    let mut pool = Pool::new(PREFILL);
+    for (running, waiting) in [(u32::MAX, 0), (0, u32::MAX), (u32::MAX, u32::MAX)] {
+        let choice = pool.choose(SECOND, &view, &here, &query(&[], &[]), || 0.5);
+        let id = choice.expect("a target").id;
+        pool.record_load_report(SECOND, &id, running, waiting);
+    }
+}
+
 /// While a target reads a long prompt, the streams that run there stand still. So such a prompt leaves
 /// a region whose targets are full of streams for one with room, and a short one stays.
 #[test]
--- a/tests/wire_formats.rs
+++ b/tests/wire_formats.rs
@@ -1,28 +1,32 @@
 //! Messages and stored values of earlier builds, which serve beside this one while a fleet is
 //! replaced.
 
+#[path = "common/mutation.rs"]
+mod mutation;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use limpetstand::peer::{UnknownKinds, WireFormat, decode_named, encode_named};
+use mutation::{corpus, fuzz};
 use serde::{Deserialize, Serialize};
 
 /// Messages that a build of commit a5f5040 has written, a file for each type and a line for each
 /// message, in hexadecimal.
 const CORPUS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus/wire");
 
-fn corpus() -> BTreeMap<String, Vec<Vec<u8>>> {
-    let mut corpus = BTreeMap::new();
+fn messages_by_format() -> BTreeMap<String, Vec<Vec<u8>>> {
+    let mut by_format = BTreeMap::new();
     for file in std::fs::read_dir(Path::new(CORPUS)).expect("a directory") {
         let path = file.expect("a file").path();
         let name = path.file_name().expect("a name").to_string_lossy();
         let text = std::fs::read_to_string(&path).expect("text");
         let messages = text.lines().map(|line| bytes(line.trim_matches('-')));
-        corpus.insert(name.into_owned(), messages.collect());
+        by_format.insert(name.into_owned(), messages.collect());
     }
-    corpus
+    by_format
 }
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -33,7 +37,7 @@
 
 #[test]
 fn messages_of_earlier_builds_are_read_and_written_alike() {
-    let corpus = corpus();
+    let corpus = messages_by_format();
     let mut registered: Vec<&str> = WireFormat::all().map(|f| f.name).collect();
     registered.sort_unstable();
     let kept: Vec<&str> = corpus.keys().map(String::as_str).collect();
@@ -47,6 +51,23 @@
     }
 }
 
+#[test]
+fn no_message_makes_an_instance_panic() {
+    for (name, messages) in messages_by_format() {
+        let format = WireFormat::all().find(|f| f.name == name);
+        let format = format.expect("a format");
+        fuzz(&messages, |input, _| {
+            // What can be read can be written.
+            if let Ok(again) = (format.recode)(input) {
+                assert!((format.recode)(&again).is_ok(), "{name}");
+            }
+        });
+    }
+    fuzz(&corpus(CORPUS), |input, _| {
+        let _ = decode_named::<New>(input);
+    });
+}
+
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Old {
     name: String,
