Let an organisation whose requests are refused too often compete as an equal

Priorities of organisations go before those of routes, so under lasting overload the least urgent organisation left room to all others and could get next to nothing, whatever its routes got. The share that is served now counts by organisation too.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -92,7 +92,7 @@
 use self::upstream::TargetConnections;
 use self::urgency::ServedShares;
 use crate::clock::Clock;
-use crate::id::{InstanceId, RegionId, RouteId};
+use crate::id::{InstanceId, OrganisationId, RegionId, RouteId};
 use crate::in_flight::InFlight;
 use crate::member::Fleet;
 use crate::peer::{Peers, RelayAnswer, RelayHandler, UnknownKinds, decode, encode};
@@ -126,7 +126,8 @@
     typical_prefill: Mutex<TypicalPrefill>,
     quarantine: Arc<QuarantineService>,
     unknown_kinds: Mutex<UnknownKinds>,
-    served_shares: Mutex<ServedShares>,
+    served_by_route: Mutex<ServedShares<RouteId>>,
+    served_by_organisation: Mutex<ServedShares<OrganisationId>>,
     probed: ProbedProcesses,
     reach: Mutex<Reach>,
     own_ejections: Mutex<OwnEjections>,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -194,7 +194,10 @@
             Ok(Err(failure)) if failure.refusal.code() == Code::Overloaded => false,
             _ => return,
         };
-        lock(&self.0.served_shares).record(&job.route, served);
+        lock(&self.0.served_by_route).record(&job.route, served);
+        if let Some(organisation) = &job.organisation {
+            lock(&self.0.served_by_organisation).record(organisation, served);
+        }
     }
 
     fn job(
@@ -219,7 +222,9 @@
             let time_left = deadline.saturating_duration_since(Instant::now());
             max_wait = load_shedding::max_wait_of_taken_up(max_wait, time_left);
         }
-        let yields = !lock(&self.0.served_shares).is_short(&route.name);
+        let organisation = admitted.organisation.as_ref().map(|(o, _)| o);
+        let is_short = lock(&self.0.served_by_route).is_short(&route.name)
+            || organisation.is_some_and(|o| lock(&self.0.served_by_organisation).is_short(o));
         Job {
             id: head.id.clone(),
             route: route.name.clone(),
@@ -227,7 +232,7 @@
             service: destination.service,
             organisation: admitted.organisation.map(|(o, _)| o),
             priority,
-            yields,
+            yields: !is_short,
             max_attempts: route.max_attempts.max(1),
             attempts: 0,
             objective: route.objective,
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -6,15 +6,14 @@
 //! as many slots free as the number of more urgent requests at a target goes up and down by. Where
 //! nothing more urgent runs, it may use all slots.
 //!
-//! A route whose requests are refused too often for this competes as an equal until enough of them
-//! are served again.
+//! A route or an organisation whose requests are refused too often for this competes as an equal until
+//! enough of them are served again.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 
 use smol_str::SmolStr;
 
-use crate::id::RouteId;
-
 /// Number of priorities that are told apart, from 0, the most urgent.
 pub const PRIORITIES: usize = 10;
 
@@ -24,7 +23,8 @@
 /// Largest part of a target's slots that is left free.
 const MAX_FREE_PART: f64 = 0.5;
 
-/// Share of a route's requests that is served before those of more urgent routes come first.
+/// Share of the requests of a route or an organisation that is served before more urgent ones come
+/// first.
 const MIN_SERVED_SHARE: f64 = 0.4;
 
 /// Weight of the newest outcome in the moving average of the share that is served.
@@ -69,22 +69,28 @@
     deviation.min(limit).ceil().min(limit.floor()) as u32
 }
 
-/// The share of each route's requests that has lately been served.
-#[derive(Debug, Clone, Default)]
-pub struct ServedShares(HashMap<RouteId, f64>);
+/// The share of requests that has lately been served, by route or by organisation.
+#[derive(Debug, Clone)]
+pub struct ServedShares<K>(HashMap<K, f64>);
+
+impl<K> Default for ServedShares<K> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
 
-impl ServedShares {
+impl<K: Clone + Eq + Hash> ServedShares<K> {
     /// Records whether a request was served, or refused for want of room.
-    pub fn record(&mut self, route: &RouteId, served: bool) {
+    pub fn record(&mut self, key: &K, served: bool) {
         let outcome = if served { 1.0 } else { 0.0 };
-        let share = self.0.entry(route.clone()).or_insert(1.0);
+        let share = self.0.entry(key.clone()).or_insert(1.0);
         *share += (outcome - *share) * OUTCOME_WEIGHT;
     }
 
-    /// Tells whether so few of a route's requests are served that they leave no slots free.
-    pub fn is_short(&self, route: &RouteId) -> bool {
+    /// Tells whether so few requests are served that further ones leave no slots free.
+    pub fn is_short(&self, key: &K) -> bool {
         self.0
-            .get(route)
+            .get(key)
             .is_some_and(|share| *share < MIN_SERVED_SHARE)
     }
 }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -269,7 +269,7 @@
     let peers = PeerClient::new(None);
     let wait = Duration::from_secs(5);
     let unknown = peers.ask(server.address, "other", Bytes::new(), wait).await;
-    assert!(matches!(unknown, Err(PeerError::Refused(_))));
+    assert!(matches!(unknown, Err(PeerError::UnknownKind(_))));
     let malformed = peers
         .ask(server.address, "echo", Bytes::from("bad"), wait)
         .await;
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -265,6 +265,23 @@
     }
 }
 
+/// An organisation that is less urgent than all others does not starve either.
+#[test]
+fn who_is_refused_too_often_competes_as_an_equal_until_it_is_served_again() {
+    let mut shares = ServedShares::default();
+    for _ in 0..100 {
+        shares.record(&"served", true);
+        shares.record(&"refused", false);
+    }
+    assert!(shares.is_short(&"refused"));
+    assert!(!shares.is_short(&"served"));
+    assert!(!shares.is_short(&"unknown"));
+    for _ in 0..50 {
+        shares.record(&"refused", true);
+    }
+    assert!(!shares.is_short(&"refused"));
+}
+
 #[test]
 fn slots_are_kept_free_only_for_what_is_there() {
     assert_eq!(kept_free(16, 0.0), 0);
