--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -648,6 +648,13 @@
                     {
                         return;
                     }
+                    TargetEvent::Leaving => {
+                        let (target, holder) = (target.clone(), holder.clone());
+                        drop(pool);
+                        drop(scheduling);
+                        self.apply_leaving(target, holder);
+                        return;
+                    }
                     _ => {}
                 }
                 pool.record_event(now, target, event);
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -304,7 +304,6 @@
                 .report_withdrawal(&choice.id, started, head.leaving, quiet);
         }
         if head.leaving {
-            request_guard.report(TargetEvent::Leaving);
             let is_new = self
                 .pool()
                 .withdrawals()
@@ -317,6 +316,7 @@
                     .text("target", choice.id.as_str())
                     .value("born", started);
             }
+            request_guard.report(TargetEvent::Leaving);
         }
         let (Some(retry_after), Some(quiet)) = (&head.retry_after, quiet) else {
             return;
--- a/src/gateway/withdrawn.rs
+++ b/src/gateway/withdrawn.rs
@@ -7,6 +7,7 @@
 use super::Gateway;
 use super::target_attempt::format_rate;
 use super::withdrawal_news::WithdrawalReport;
+use crate::id::{InstanceId, TargetId};
 use crate::journal;
 
 /// Applies the withdrawals that the follower hears of, until the follower ends.
@@ -23,6 +24,23 @@
 }
 
 impl Gateway {
+    /// Takes over that a target has told `reporter`, which holds a place there, that it leaves.
+    pub(super) fn apply_leaving(&self, target: TargetId, reporter: InstanceId) {
+        let view = self.view();
+        let Some(known) = view.targets.get(&target) else {
+            return;
+        };
+        self.apply_withdrawal(&WithdrawalReport {
+            started_unix_ms: known.entry.started_unix_ms,
+            target,
+            leaving: true,
+            quiet_left: Duration::ZERO,
+            limit: None,
+            reporter,
+            number: 0,
+        });
+    }
+
     fn apply_withdrawal(&self, report: &WithdrawalReport) {
         let view = self.view();
         let (target, started) = (&report.target, report.started_unix_ms);
--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -1,21 +1,21 @@
 //! Plays a crowd at targets that fall over when they turn requests away, in virtual time and without
 //! a network.
 
+#[path = "common/region_view.rs"]
+mod region_view;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use limpetstand::gateway::brittle::BrittleTargets;
-use limpetstand::gateway::dialect::TargetEntry;
 use limpetstand::gateway::platform_view::PlatformView;
 use limpetstand::gateway::pool::{Demand, Pool, Prefill, TargetQuery};
-use limpetstand::gateway::registry::KnownTarget;
 use limpetstand::gateway::scheduler::{scheduler_of, schedulers};
 use limpetstand::gateway::target_limits::{LimitedTargets, ProcessKey, TargetLimit};
 use limpetstand::id::{RegionId, TargetId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use smol_str::SmolStr;
+use region_view::{SERVICE, view};
 
 const SEED: u64 = 3;
 
@@ -38,8 +38,6 @@
 /// How long a target that has fallen over is away.
 const AWAY_MS: u64 = 3_000;
 
-static SERVICE: SmolStr = SmolStr::new_static("s");
-
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -70,29 +68,9 @@
 
 impl Region {
     fn new(targets: u32) -> Self {
-        let mut view = PlatformView::default();
-        view.region_by_data_centre.insert("a".into(), "here".into());
-        let mut played = BTreeMap::new();
-        for i in 0..targets {
-            let entry = TargetEntry {
-                service: SERVICE.clone(),
-                address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                data_centre: "a".into(),
-                software_version: "v1".into(),
-                slots: SLOTS,
-                leaving: false,
-                cold_for: Duration::ZERO,
-                started_unix_ms: 1,
-            };
-            let known = KnownTarget {
-                entry,
-                cold_until: Duration::ZERO,
-                missing_since: None,
-            };
-            let id: TargetId = format!("t{i}").into();
-            view.targets.insert(id.clone(), known);
-            played.insert(id, Target::default());
-        }
+        let view = view(targets, SLOTS);
+        let ids = view.targets.keys().cloned();
+        let played = ids.map(|id| (id, Target::default())).collect();
         Self {
             view,
             here: "here".into(),
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1,16 +1,17 @@
 //! Plays an overloaded region of 3 to 100 instances through the decisions about targets, in virtual
 //! time and without a network, and checks what callers get.
 
+#[path = "common/region_view.rs"]
+mod region_view;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
-use limpetstand::gateway::dialect::{PromptPart, TargetEntry};
+use limpetstand::gateway::dialect::PromptPart;
 use limpetstand::gateway::load_shedding;
 use limpetstand::gateway::platform_view::PlatformView;
 use limpetstand::gateway::pool::{self, Choice, Demand, Pool, Prefill, TargetQuery};
-use limpetstand::gateway::registry::KnownTarget;
 use limpetstand::gateway::routes::RouteTable;
 use limpetstand::gateway::scheduler::{
     INSTANCES_PER_SCHEDULER, Placed, Scheduler, TAKEOVER_TIME, scheduler_of, schedulers,
@@ -19,7 +20,7 @@
 use limpetstand::id::{InstanceId, RegionId, TargetId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use smol_str::SmolStr;
+use region_view::SERVICE;
 
 const SEED: u64 = 7;
 
@@ -38,8 +39,6 @@
 
 const PLAYED_MS: u64 = 10_000;
 
-static SERVICE: SmolStr = SmolStr::new_static("s");
-
 static HOLDER: LazyLock<InstanceId> = LazyLock::new(|| "i0".into());
 
 /// How fast targets read prompts.
@@ -59,26 +58,7 @@
 }
 
 fn view() -> PlatformView {
-    let mut view = PlatformView::default();
-    view.region_by_data_centre.insert("a".into(), "here".into());
-    for i in 0..TARGETS {
-        let entry = TargetEntry {
-            service: SERVICE.clone(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            data_centre: "a".into(),
-            software_version: "v1".into(),
-            slots: 64,
-            leaving: false,
-            cold_for: Duration::ZERO,
-            started_unix_ms: 1,
-        };
-        let known = KnownTarget {
-            entry,
-            cold_until: Duration::ZERO,
-            missing_since: None,
-        };
-        view.targets.insert(format!("t{i}").into(), known);
-    }
+    let mut view = region_view::view(TARGETS, 64);
     view.route_table = Some(Arc::new(RouteTable::new(1, Vec::new())));
     view
 }
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -1,23 +1,23 @@
 //! Plays a region that gets more requests of two priorities than its targets can run, in virtual
 //! time and without a network, and checks what the callers of each priority get.
 
+#[path = "common/region_view.rs"]
+mod region_view;
+
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::LazyLock;
 use std::time::Duration;
 
-use limpetstand::gateway::dialect::{PromptPart, TargetEntry};
+use limpetstand::gateway::dialect::PromptPart;
 use limpetstand::gateway::load_shedding;
-use limpetstand::gateway::platform_view::PlatformView;
 use limpetstand::gateway::pool::{Demand, Pool, Prefill, TargetQuery};
-use limpetstand::gateway::registry::KnownTarget;
 use limpetstand::gateway::scheduler::{Placed, Scheduler, scheduler_of, schedulers};
 use limpetstand::gateway::target_limits::LimitedTargets;
 use limpetstand::gateway::urgency::{ServedShares, kept_free};
 use limpetstand::id::{InstanceId, RouteId, TargetId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use smol_str::SmolStr;
+use region_view::{SERVICE, view};
 
 const SEED: u64 = 11;
 
@@ -30,8 +30,6 @@
 const TOKEN_MS: u64 = 6;
 const TOKENS_PER_MS: u32 = 45;
 
-static SERVICE: SmolStr = SmolStr::new_static("s");
-
 static HOLDER: LazyLock<InstanceId> = LazyLock::new(|| "i0".into());
 
 /// A kind of requests. Its load is the part of the region's time that all its requests would take.
@@ -96,35 +94,11 @@
     Duration::from_millis(n)
 }
 
-fn view(targets: u32) -> PlatformView {
-    let mut view = PlatformView::default();
-    view.region_by_data_centre.insert("a".into(), "here".into());
-    for i in 0..targets {
-        let entry = TargetEntry {
-            service: SERVICE.clone(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            data_centre: "a".into(),
-            software_version: "v1".into(),
-            slots: SLOTS,
-            leaving: false,
-            cold_for: Duration::ZERO,
-            started_unix_ms: 1,
-        };
-        let known = KnownTarget {
-            entry,
-            cold_until: Duration::ZERO,
-            missing_since: None,
-        };
-        view.targets.insert(format!("t{i}").into(), known);
-    }
-    view
-}
-
 /// Plays the load at a region's schedulers; `yields` tells whether less urgent requests leave slots
 /// free, as they did not before.
 fn play(instances: usize, yields: bool) -> [Outcome; 2] {
     let targets = u32::try_from(instances).expect("few").max(8);
-    let view = view(targets);
+    let view = view(targets, SLOTS);
     let here = "here".into();
     let names: Vec<String> = (0..instances).map(|i| format!("i{i}")).collect();
     let live: Vec<&str> = names.iter().map(String::as_str).collect();
