Review case 1: a taken-up stream is joined from two software versions

A script with the real programs: two regions, one of them cut off for 6 s while a worker of a new version starts in the other. Clients that began streams at the new version move to the region that is cut off and take their streams up there.

--- a/review/tools/fleet.rs
+++ b/review/tools/fleet.rs
@@ -57,7 +57,10 @@
             Some(_) => format!("advertise_peer = \"{ip}:{RELAYED_PORT}\"\n"),
             None => String::new(),
         };
-        let centres: String = centres.iter().map(|(z, r)| format!("\"{z}\" = \"{r}\"\n")).collect();
+        let centres: String = centres
+            .iter()
+            .map(|(z, r)| format!("\"{z}\" = \"{r}\"\n"))
+            .collect();
         let settings = format!(
             r#"[instance]
 id = "{id}"
@@ -125,7 +128,10 @@
             std::fs::write(&self.settings, text).expect("settings written");
         }
         self.starts += 1;
-        let out = File::options().create(true).append(true).open(&self.journal);
+        let out = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.journal);
         let out = out.expect("a journal");
         let child = Command::new(BINARY)
             .arg("--settings")
@@ -137,10 +143,6 @@
         self.child = Some(child.expect("the instance starts"));
     }
 
-    pub fn front(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, FRONT_PORT)
-    }
-
     pub fn directory(&self) -> SocketAddr {
         SocketAddr::new(self.ip, DIRECTORY_PORT)
     }
@@ -154,7 +156,10 @@
     pub fn metrics(&self) -> String {
         let admin = SocketAddr::new(self.ip, ADMIN_PORT);
         let answer = http::get(admin, "/metrics", Duration::from_secs(1));
-        answer.map_or_else(|_| String::new(), |(_, body)| String::from_utf8_lossy(&body).into())
+        answer.map_or_else(
+            |_| String::new(),
+            |(_, body)| String::from_utf8_lossy(&body).into(),
+        )
     }
 
     /// Sends SIGKILL and waits for the end of the process.
@@ -164,28 +169,6 @@
             let _ = child.wait();
         }
     }
-
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([format!("-{name}"), child.id().to_string()]).status();
-        }
-    }
-
-    /// Waits for the end of the process; kills it after `grace`.
-    pub fn wait_until_exited(&mut self, grace: Duration) {
-        let began = Instant::now();
-        while let Some(child) = &mut self.child {
-            if matches!(child.try_wait(), Ok(Some(_))) {
-                self.child = None;
-            } else if began.elapsed() > grace {
-                self.kill();
-            } else {
-                sleep(Duration::from_millis(20));
-            }
-        }
-    }
-
 }
 
 impl Drop for Instance {
@@ -219,5 +202,8 @@
     let body = String::from_utf8_lossy(&body).into_owned();
     let body = Json::parse(&body).unwrap_or(Json::Null);
     let addresses = body.get("addresses").list();
-    addresses.iter().filter_map(|a| a.text().parse().ok()).collect()
+    addresses
+        .iter()
+        .filter_map(|a| a.text().parse().ok())
+        .collect()
 }
--- a/review/tools/main.rs
+++ b/review/tools/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod json;
 mod net;
+mod order;
 mod quota;
 mod store;
 mod worker;
@@ -35,6 +36,7 @@
     }
     let mut record = String::new();
     let outcome = match name.as_str() {
+        "order" => order::run(&dir, &mut record),
         "quota" => quota::run(&dir, &mut record),
         _ => Outcome::CouldNotRun(format!("there is no case `{name}`")),
     };
--- a/review/tools/quota.rs
+++ b/review/tools/quota.rs
@@ -16,7 +16,7 @@
 use crate::http;
 use crate::net::Net;
 use crate::store::Store;
-use crate::worker::{Runs, Worker};
+use crate::worker::{Kind, Runs, Worker};
 use crate::{Outcome, is_troubled};
 
 /// The tenant's quota, as in the examples of the users' bench.
@@ -103,7 +103,11 @@
         );
         let at = Instant::now();
         let sent = Sent { at, status: 0 };
-        shared.sent.lock().expect("unpoisoned").insert(id.clone(), sent);
+        shared
+            .sent
+            .lock()
+            .expect("unpoisoned")
+            .insert(id.clone(), sent);
         let answer = http::send(to, request.as_bytes(), Duration::from_secs(6));
         let Ok((head, body)) = answer else {
             continue;
@@ -130,7 +134,9 @@
     let mut worst = (0, None);
     for (begin, _) in runs {
         let end = *begin + WINDOW;
-        let within = runs.iter().filter(|(sent, run)| sent >= begin && *run <= end);
+        let within = runs
+            .iter()
+            .filter(|(sent, run)| sent >= begin && *run <= end);
         let tokens = within.count() as u64 * cost;
         if tokens > worst.0 {
             worst = (tokens, Some(*begin));
@@ -147,13 +153,28 @@
     let mut workers = Vec::new();
     for n in 0..12_u8 {
         let id = format!("i-{n:08x}");
-        workers.push(Worker::start(&id, ZONES[0].0, fleet::address(200 + n), &store, &runs));
+        let kind = Kind {
+            version: "v1",
+            prefill: Duration::from_millis(70),
+            events: 3,
+            event_pause: Duration::from_millis(15),
+        };
+        let ip = fleet::address(200 + n);
+        workers.push(Worker::start(&id, ZONES[0].0, ip, kind, &store, &runs));
     }
     let centres: &DataCentres = &ZONES;
     let mut instances = Vec::new();
     for n in 1..=3 {
         let id = format!("front-{}-{n}", ZONES[0].0);
-        instances.push(Instance::new(n, &id, ZONES[0], centres, store.address, dir, None));
+        instances.push(Instance::new(
+            n,
+            &id,
+            ZONES[0],
+            centres,
+            store.address,
+            dir,
+            None,
+        ));
     }
     for instance in &mut instances {
         instance.start();
@@ -225,7 +246,12 @@
     }
     let mut statuses: Vec<_> = statuses.into_iter().collect();
     statuses.sort_unstable();
-    let _ = writeln!(record, "requests sent {}, run {}, by status {statuses:?}", sent.len(), both.len());
+    let _ = writeln!(
+        record,
+        "requests sent {}, run {}, by status {statuses:?}",
+        sent.len(),
+        both.len()
+    );
     for (at, what) in events {
         let _ = writeln!(record, "{:7.3} s  {what}", at.as_secs_f64());
     }
@@ -233,7 +259,10 @@
     let mut second = began;
     while second < end {
         let next = second + Duration::from_secs(1);
-        let ran = both.iter().filter(|(_, run)| (second..next).contains(run)).count() as u64;
+        let ran = both
+            .iter()
+            .filter(|(_, run)| (second..next).contains(run))
+            .count() as u64;
         let _ = writeln!(
             record,
             "{:3} s  {:9} tokens run, {:.2} of the rate",
@@ -249,7 +278,9 @@
         "most tokens sent and run in {WINDOW:?}: {tokens} from {at:.3} s; the rule allows {bound:.0}"
     );
     if tokens as f64 > bound {
-        return Outcome::Broken(format!("QUOTA: {tokens} tokens in {WINDOW:?}, {bound:.0} allowed"));
+        return Outcome::Broken(format!(
+            "QUOTA: {tokens} tokens in {WINDOW:?}, {bound:.0} allowed"
+        ));
     }
     Outcome::Held
 }
--- a/review/tools/store.rs
+++ b/review/tools/store.rs
@@ -99,7 +99,9 @@
             address: listener.local_addr().expect("an address"),
         };
         let serving = store.clone();
-        http::serve(listener, move |stream, from| serving.connection(stream, from));
+        http::serve(listener, move |stream, from| {
+            serving.connection(stream, from)
+        });
         store
     }
 
@@ -138,7 +140,8 @@
 
     fn answer(&self, request: &Message) -> (u16, String) {
         let path = request.path();
-        let body = Json::parse(std::str::from_utf8(&request.body).unwrap_or("")).unwrap_or(Json::Null);
+        let body =
+            Json::parse(std::str::from_utf8(&request.body).unwrap_or("")).unwrap_or(Json::Null);
         match (request.method(), path) {
             ("GET", "/api/kv-key") => self.key(&request.query("key").unwrap_or_default()),
             ("GET", "/api/kv-range") => {
@@ -171,7 +174,13 @@
         let items = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let items: Vec<String> = items.map(|(key, item)| item_json(key, item)).collect();
         let at = data.revision;
-        (200, format!(r#"{{"items":[{}],"hasMore":false,"at":{at}}}"#, items.join(",")))
+        (
+            200,
+            format!(
+                r#"{{"items":[{}],"hasMore":false,"at":{at}}}"#,
+                items.join(",")
+            ),
+        )
     }
 
     fn watch(&self, request: &Message) -> (u16, String) {
@@ -192,7 +201,10 @@
                 events.reverse();
                 if !events.is_empty() || Instant::now() >= until {
                     let at = data.revision;
-                    return (200, format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")));
+                    return (
+                        200,
+                        format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")),
+                    );
                 }
             }
             sleep(POLL);
@@ -234,11 +246,17 @@
         data.last_lease += 1;
         let id = data.last_lease;
         data.leases.insert(id, (Instant::now() + ttl, ttl));
-        (200, format!(r#"{{"lease":{id},"ttlMs":{}}}"#, ttl.as_millis()))
+        (
+            200,
+            format!(r#"{{"lease":{id},"ttlMs":{}}}"#, ttl.as_millis()),
+        )
     }
 
     fn keep(&self, path: &str) -> (u16, String) {
-        let id = path.rsplit('/').next().and_then(|id| id.parse::<i64>().ok());
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse::<i64>().ok());
         match self.data().leases.get_mut(&id.unwrap_or(0)) {
             Some((until, ttl)) => {
                 *until = Instant::now() + *ttl;
@@ -257,7 +275,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for i in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * i) & 63) as usize];
-            out.push(if i <= part.len() { char::from(digit) } else { '=' });
+            out.push(if i <= part.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/tools/worker.rs
+++ b/review/tools/worker.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -10,12 +10,15 @@
 use crate::http::{self, Message};
 use crate::store::Store;
 
-/// Time to read a prompt of the usual size.
-const PREFILL: Duration = Duration::from_millis(70);
-
-const EVENTS: u32 = 3;
-
-const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// What a worker serves, and how long that takes.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    pub version: &'static str,
+    /// Time to read a prompt.
+    pub prefill: Duration,
+    pub events: u32,
+    pub event_pause: Duration,
+}
 
 const SLOTS: u32 = 64;
 
@@ -34,6 +37,8 @@
 pub struct Worker {
     id: String,
     zone: String,
+    kind: Kind,
+    is_leaving: AtomicBool,
     address: SocketAddr,
     born: u128,
     running: AtomicU32,
@@ -42,12 +47,21 @@
 
 impl Worker {
     /// Starts a worker of the service `modelo` and registers it.
-    pub fn start(id: &str, zone: &str, ip: IpAddr, store: &Store, runs: &Runs) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        zone: &str,
+        ip: IpAddr,
+        kind: Kind,
+        store: &Store,
+        runs: &Runs,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let worker = Arc::new(Self {
             id: id.to_owned(),
             zone: zone.to_owned(),
+            kind,
+            is_leaving: AtomicBool::new(false),
             address: listener.local_addr().expect("an address"),
             born: now.map_or(0, |t| t.as_millis()),
             running: AtomicU32::new(0),
@@ -55,14 +69,33 @@
         });
         let serving = Arc::clone(&worker);
         http::serve(listener, move |stream, _| serving.connection(stream));
-        store.put(&format!("servers/{id}"), &worker.entry());
+        worker.register(store);
         worker
     }
 
+    /// Writes the worker's entry.
+    pub fn register(&self, store: &Store) {
+        store.put(&format!("servers/{}", self.id), &self.entry());
+    }
+
+    /// Removes the entry, as the store does after three silent heartbeats.
+    pub fn lapse(&self, store: &Store) {
+        store.remove(&format!("servers/{}", self.id));
+    }
+
+    /// Reports that the worker drains.
+    pub fn leave(&self, store: &Store) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        self.register(store);
+    }
+
     fn entry(&self) -> String {
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let state = if is_leaving { "draining" } else { "ready" };
+        let version = self.kind.version;
         format!(
-            r#"{{"service":"modelo","address":"{}","zone":"{}","version":"v1","slots":{SLOTS},
-            "state":"ready","warmupLeftMs":0,"sequence":1,"born":{}}}"#,
+            r#"{{"service":"modelo","address":"{}","zone":"{}","version":"{version}","slots":{SLOTS},
+            "state":"{state}","warmupLeftMs":0,"sequence":1,"born":{}}}"#,
             self.address, self.zone, self.born
         )
     }
@@ -80,7 +113,13 @@
     }
 
     fn answer(&self, request: &Message, out: &mut TcpStream) -> io::Result<()> {
-        let load = format!("server-load: {},0,{SLOTS}", self.running.load(Ordering::Relaxed));
+        let mut load = format!(
+            "server-load: {},0,{SLOTS}",
+            self.running.load(Ordering::Relaxed)
+        );
+        if self.is_leaving.load(Ordering::Relaxed) {
+            load.push_str("\r\nserver-leaving: 1");
+        }
         if request.method() == "GET" {
             let body = match request.path() {
                 "/api/report" => format!(
@@ -98,7 +137,10 @@
             return out.write_all(head.as_bytes());
         }
         let id = request.header("request-id").unwrap_or_default();
-        if request.header("expect-instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let head = "HTTP/1.1 421 Misdirected\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
             return out.write_all(head.as_bytes());
         }
@@ -108,7 +150,7 @@
             worker: self.id.clone(),
             tenant: request.header("tenant").unwrap_or_default().to_owned(),
         });
-        sleep(PREFILL);
+        sleep(self.kind.prefill);
         let head = format!(
             "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-signature: {}.{id}\r\n{load}\r\n\
              keep-alive: timeout=10\r\ncontent-type: text/event-stream\r\n\
@@ -116,10 +158,13 @@
             self.id
         );
         out.write_all(head.as_bytes())?;
-        for n in 1..=EVENTS {
-            let event = format!("id: {n}\ndata: piece {n}\n\n");
+        let after = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok());
+        for n in after.unwrap_or(0) + 1..=self.kind.events {
+            let event = format!("id: {n}\ndata: {} piece {n}\n\n", self.kind.version);
             out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            sleep(EVENT_PAUSE);
+            sleep(self.kind.event_pause);
         }
         out.write_all(b"0\r\n\r\n")
     }
