Review case 4: a holder that is cut off uses what restarted holders use again

A script with the real programs: the instance that holds a tenant's quota is cut off for 12 s, and the two others are killed and started again meanwhile.

--- a/review/tools/main.rs
+++ b/review/tools/main.rs
@@ -11,6 +11,8 @@
 
 use std::process::ExitCode;
 
+use quota::Trouble;
+
 /// What a case has shown.
 pub enum Outcome {
     Held,
@@ -37,7 +39,8 @@
     let mut record = String::new();
     let outcome = match name.as_str() {
         "order" => order::run(&dir, &mut record),
-        "quota" => quota::run(&dir, &mut record),
+        "quota" => quota::run(Trouble::TwoKilled, &dir, &mut record),
+        "quota-cut" => quota::run(Trouble::HolderCutOff, &dir, &mut record),
         _ => Outcome::CouldNotRun(format!("there is no case `{name}`")),
     };
     let (text, code) = match outcome {
