--- a/review/tools/order.rs
+++ b/review/tools/order.rs
@@ -28,6 +28,9 @@
 
 const CLIENTS: usize = 8;
 
+/// The share of the clients that moves.
+const MOVING: usize = CLIENTS / 2;
+
 const EVENTS: u32 = 30;
 
 /// The client's deadline.
@@ -178,7 +181,11 @@
     note("clients in recife begin their streams");
     let mut clients = Vec::new();
     for n in 0..CLIENTS {
-        let (near, far, moves) = (near.clone(), far.clone(), Arc::clone(&moves));
+        let (near, far) = (near.clone(), far.clone());
+        let moves = match n < MOVING {
+            true => Arc::clone(&moves),
+            false => Arc::new(AtomicBool::new(false)),
+        };
         clients.push(std::thread::spawn(move || {
             let began = Instant::now();
             let mut got = Received::default();
@@ -197,7 +204,7 @@
         }));
     }
     sleep(Duration::from_millis(1_500));
-    note("the clients move to fortaleza and take their streams up again");
+    note("half of the clients move to fortaleza and take their streams up again");
     moves.store(true, Ordering::Relaxed);
     if is_troubled() {
         sleep(LAPSE.saturating_sub(began.elapsed()));
@@ -234,7 +241,7 @@
     }
     if joined > 0 {
         return Outcome::Broken(format!(
-            "ORDER: {joined} of {CLIENTS} streams are joined from two versions"
+            "ORDER: {joined} of {MOVING} streams that are taken up are joined from two versions"
         ));
     }
     Outcome::Held
--- a/review/tools/quota.rs
+++ b/review/tools/quota.rs
@@ -31,7 +31,12 @@
 const GENERATED: u64 = 60;
 
 /// How many times its usual the hot tenant sends; its usual is the quota by `QUOTA_FACTOR`.
-const HEAT: f64 = 7.5;
+const HEAT: f64 = 6.0;
+
+/// When the tenant is hot for the first time, for how long, and how often that begins again.
+const HOT_FROM: Duration = Duration::from_secs(2);
+const HOT_FOR: Duration = Duration::from_secs(11);
+const HOT_EACH: Duration = Duration::from_secs(12);
 const QUOTA_FACTOR: f64 = 1.8;
 
 const CLIENTS: u64 = 64;
@@ -82,13 +87,20 @@
     )
 }
 
-/// Sends a request each `pause`, whatever became of the one before.
-fn client(shared: &Shared, n: u64, pause: Duration) {
+fn is_hot(since_start: Duration) -> bool {
+    let since = since_start.checked_sub(HOT_FROM);
+    since.is_some_and(|t| t.as_secs_f64() % HOT_EACH.as_secs_f64() < HOT_FOR.as_secs_f64())
+}
+
+/// Sends a request each `usual`, more often while the tenant is hot, whatever became of the one
+/// before.
+fn client(shared: &Shared, n: u64, usual: Duration, began: Instant) {
     let mut draw = n.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
-    let mut next = Instant::now() + pause.mul_f64(n as f64 / CLIENTS as f64);
+    let mut next = began + usual.mul_f64(n as f64 / CLIENTS as f64);
     while !shared.stop.load(Ordering::Relaxed) {
         sleep(next.saturating_duration_since(Instant::now()));
-        next = (next + pause).max(Instant::now());
+        let heat = if is_hot(began.elapsed()) { HEAT } else { 1.0 };
+        next = (next + usual.div_f64(heat)).max(Instant::now());
         draw ^= draw << 13;
         draw ^= draw >> 7;
         draw ^= draw << 17;
@@ -200,7 +212,7 @@
     let began = Instant::now();
     let shared = Arc::new(Shared::default());
     let cost = PROMPT + GENERATED;
-    let per_s = HEAT / QUOTA_FACTOR * RATE as f64 / cost as f64;
+    let per_s = RATE as f64 / QUOTA_FACTOR / cost as f64;
     let pause = Duration::from_secs_f64(CLIENTS as f64 / per_s);
     let directories: Vec<SocketAddr> = instances.iter().map(Instance::directory).collect();
     let asking = Arc::clone(&shared);
@@ -216,7 +228,7 @@
     let mut clients = Vec::new();
     for n in 0..CLIENTS {
         let shared = Arc::clone(&shared);
-        clients.push(std::thread::spawn(move || client(&shared, n, pause)));
+        clients.push(std::thread::spawn(move || client(&shared, n, pause, began)));
     }
     sleep(STEADY);
     let mut events = Vec::new();
