--- a/review/tools/main.rs
+++ b/review/tools/main.rs
@@ -11,8 +11,6 @@
 
 use std::process::ExitCode;
 
-use quota::Trouble;
-
 /// What a case has shown.
 pub enum Outcome {
     Held,
@@ -39,8 +37,7 @@
     let mut record = String::new();
     let outcome = match name.as_str() {
         "order" => order::run(&dir, &mut record),
-        "quota" => quota::run(Trouble::TwoKilled, &dir, &mut record),
-        "quota-cut" => quota::run(Trouble::HolderCutOff, &dir, &mut record),
+        "quota" => quota::run(&dir, &mut record),
         _ => Outcome::CouldNotRun(format!("there is no case `{name}`")),
     };
     let (text, code) = match outcome {
--- a/review/tools/quota.rs
+++ b/review/tools/quota.rs
@@ -41,18 +41,13 @@
 
 const CLIENTS: u64 = 64;
 
-const STEADY: Duration = Duration::from_secs(12);
+const STEADY: Duration = Duration::from_secs(5);
 const AFTER: Duration = Duration::from_secs(14);
 
 /// Times after which the two killed processes are started again.
 const SHORT_DELAY: Duration = Duration::from_millis(500);
 const LONG_DELAY: Duration = Duration::from_millis(3_500);
 
-/// How long the holder is cut off, when the others are killed meanwhile, and when these are back.
-const CUT: Duration = Duration::from_secs(12);
-const KILL_DELAY: Duration = Duration::from_millis(1_000);
-const RESTART_DELAY: Duration = Duration::from_millis(1_000);
-
 /// Time after which the instances have settled after the restarts.
 const SETTLED: Duration = Duration::from_secs(6);
 
@@ -162,16 +157,7 @@
     worst
 }
 
-/// What is done to the instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trouble {
-    /// Two of three processes are killed at the same moment; one comes back later than the other.
-    TwoKilled,
-    /// The instance that holds the quota is cut off, and the two others are killed meanwhile.
-    HolderCutOff,
-}
-
-pub fn run(trouble: Trouble, dir: &Path, record: &mut String) -> Outcome {
+pub fn run(dir: &Path, record: &mut String) -> Outcome {
     let net = Arc::new(Net::default());
     let store = Store::start(fleet::address(250), Arc::clone(&net));
     store.put("op/config", &config());
@@ -189,7 +175,6 @@
         workers.push(Worker::start(&id, ZONES[0].0, ip, kind, &store, &runs));
     }
     let centres: &DataCentres = &ZONES;
-    let relays = (trouble == Trouble::HolderCutOff).then_some(&net);
     let mut instances = Vec::new();
     for n in 1..=3 {
         let id = format!("front-{}-{n}", ZONES[0].0);
@@ -200,7 +185,7 @@
             centres,
             store.address,
             dir,
-            relays,
+            None,
         ));
     }
     for instance in &mut instances {
@@ -239,40 +224,15 @@
     if is_troubled() {
         let first = (0..held.len()).max_by(|a, b| held[*a].total_cmp(&held[*b]));
         let first = first.unwrap_or(0);
-        match trouble {
-            Trouble::TwoKilled => {
-                let second = (first + 1) % instances.len();
-                for n in [first, second] {
-                    note(format!("SIGKILL {}", instances[n].id));
-                    instances[n].kill();
-                }
-                for (n, delay) in [(first, SHORT_DELAY), (second, LONG_DELAY - SHORT_DELAY)] {
-                    sleep(delay);
-                    note(format!("start {}", instances[n].id));
-                    instances[n].start();
-                }
-            }
-            Trouble::HolderCutOff => {
-                let cut_at = Instant::now();
-                note(format!("{} is cut off", instances[first].id));
-                net.set_island(instances[first].ip, 1);
-                sleep(KILL_DELAY);
-                let others: Vec<usize> = (0..instances.len()).filter(|n| *n != first).collect();
-                for n in &others {
-                    note(format!("SIGKILL {}", instances[*n].id));
-                    instances[*n].kill();
-                }
-                sleep(RESTART_DELAY);
-                for n in &others {
-                    note(format!("start {}", instances[*n].id));
-                    instances[*n].start();
-                }
-                sleep((CUT - SHORT_DELAY).saturating_sub(cut_at.elapsed()));
-                note(format!("parts held {:?}", parts(&instances)));
-                sleep(CUT.saturating_sub(cut_at.elapsed()));
-                note("the cut heals".to_owned());
-                net.set_island(instances[first].ip, 0);
-            }
+        let second = (first + 1) % instances.len();
+        for n in [first, second] {
+            note(format!("SIGKILL {}", instances[n].id));
+            instances[n].kill();
+        }
+        for (n, delay) in [(first, SHORT_DELAY), (second, LONG_DELAY - SHORT_DELAY)] {
+            sleep(delay);
+            note(format!("start {}", instances[n].id));
+            instances[n].start();
         }
         sleep(SETTLED);
         note(format!("parts held {:?}", parts(&instances)));
