Infer a stream's software version only from the registry as it is now

Cause: a stream without a record goes on if a single version has served. The instance concluded that from what it and the instances that it asked had seen, which says how far back they have seen, but not up to when. has_recent_news turns false up to 5.7 s after the news ends, and the answer of another instance was not held against its age.

The instance now reads the registry's changes from the store before it infers a version, or has another instance read them. What was begun before the take-up was registered before it, so this read shows its version. Versions that came and left while an instance had no news count too, and records are copied to other instances while an instance has no news.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,6 +48,7 @@
 pub mod region;
 mod region_figures;
 pub mod registry;
+mod registry_news;
 mod relay;
 pub mod restored;
 pub mod routes;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -41,6 +41,10 @@
 /// becomes final when a target responds, which takes no longer under ordinary load.
 const MAX_CHARGE_TIME_LEFT: Duration = Duration::from_secs(2);
 
+/// Time after which a stream may be taken up again that was refused while the store could not be
+/// read.
+const TAKE_UP_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The least urgent priority at targets.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -358,8 +362,16 @@
                 service: origin.service,
                 software_version: Some(origin.software_version),
             }),
-            // No `Retry-After`: a later try would be refused too.
-            (_, why) => Err(Refusal::not_run(Code::NoTarget, why.unwrap_or_default())),
+            (origin, why) => {
+                let refusal = Refusal::not_run(Code::NoTarget, why.unwrap_or_default());
+                // Without that, a later try would be refused too.
+                let may_clear = origin.is_none() && self.0.follower.lacks_registry();
+                Err(if may_clear {
+                    refusal.retry_after(TAKE_UP_RETRY_AFTER)
+                } else {
+                    refusal
+                })
+            }
         }
     }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::dialect::{Layout, PlatformEntry};
+use super::dialect::{Layout, PlatformEntry, TargetEntry};
 use super::instances::{self, INSTANCES_PREFIX};
 use super::listeners::{Listeners, Plan};
 use super::lock;
@@ -29,10 +29,12 @@
 use crate::platform::ListedInstance;
 use crate::store::Store;
 
+mod confirm;
 mod listen;
 mod poll;
 mod withdrawals;
 
+pub(super) use self::poll::WireChanges;
 pub use self::withdrawals::WithdrawalHandler;
 
 /// How long a watch call may wait for changes; the call times out [`WATCH_MARGIN`] later.
@@ -87,6 +89,22 @@
     /// When a call to the store last failed, here or at the instances that this one polls.
     store_failed_at: Option<Duration>,
     has_recent_news: bool,
+    /// Whether the latest read of the registry on demand failed.
+    registry_read_failed: bool,
+    /// Since when no change of the registry can have come and gone unseen.
+    registry_followed_since: Option<Duration>,
+    /// The services and software versions of the registry's entries that were read since they were
+    /// last taken over, those too that were replaced at once.
+    heard_versions: BTreeSet<(SmolStr, SmolStr)>,
+}
+
+/// How a mirror was brought up to date.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Update {
+    /// By all changes, one by one.
+    Followed,
+    /// To the latest state; what was written and deleted since the last update was not seen.
+    Replaced,
 }
 
 /// Dependencies of a [`Follower`].
@@ -119,6 +137,8 @@
     plan_tx: watch::Sender<Plan>,
     /// Held while large values are read, so that each is read once.
     large_values_lock: tokio::sync::Mutex<()>,
+    /// The latest read of the registry's changes on demand; held while they are read.
+    registry_read: tokio::sync::Mutex<Option<confirm::RegistryRead>>,
 }
 
 impl Follower {
@@ -159,12 +179,16 @@
                 withdrawals: WithdrawalNews::new(rand::random()),
                 store_failed_at: None,
                 has_recent_news: false,
+                registry_read_failed: false,
+                registry_followed_since: None,
+                heard_versions: BTreeSet::new(),
             }),
             tx,
             changes_tx,
             withdrawals_tx,
             plan_tx,
             large_values_lock: tokio::sync::Mutex::default(),
+            registry_read: tokio::sync::Mutex::default(),
         })
     }
 
@@ -260,10 +284,18 @@
 
     /// Records that a mirror is up to date as of `news_at`, removes targets whose entries did not
     /// return after a store outage, and journals whether the news is recent.
-    fn record_news(&self, state: &mut State, index: usize, news_at: Duration) {
+    fn record_news(&self, state: &mut State, index: usize, news_at: Duration, update: Update) {
+        let now = self.now();
         let followed = &mut state.followed[index];
+        let max_age = self.max_news_age();
+        let has_gap = match followed.news_at {
+            None => true,
+            Some(before) => update == Update::Replaced && before + max_age < news_at,
+        };
+        if index == REGISTRY_MIRROR && has_gap {
+            state.registry_followed_since = Some(now);
+        }
         followed.news_at = followed.news_at.max(Some(news_at));
-        let now = self.now();
         let due = followed.restored.take_due(now);
         if !due.is_empty() {
             self.apply_believed(state, index, &due);
@@ -278,11 +310,7 @@
     /// Journals a change of whether the instance's news from the store is recent.
     fn check_news(&self, state: &mut State) {
         let age = state.news_age(self.now());
-        let mut max_age = MAX_NEWS_AGE;
-        if !self.plan_tx.borrow().listens {
-            max_age += poll::MAX_ANSWER_TIME;
-        }
-        let is_recent = age.is_some_and(|age| age <= max_age);
+        let is_recent = age.is_some_and(|age| age <= self.max_news_age());
         if is_recent == state.has_recent_news {
             return;
         }
@@ -291,6 +319,17 @@
         journal::line(event).ms("age_ms", age.unwrap_or_default());
     }
 
+    /// Returns the age above which this instance's news is out of date.
+    fn max_news_age(&self) -> Duration {
+        let listens = self.plan_tx.borrow().listens;
+        let of_listener = if listens {
+            Duration::ZERO
+        } else {
+            poll::MAX_ANSWER_TIME
+        };
+        MAX_NEWS_AGE + of_listener
+    }
+
     fn apply_settings(&self, state: &mut State, changed: &[String], now: Duration) {
         for key in changed {
             state.evacuated_by_key.remove(key);
@@ -346,6 +385,7 @@
             let table = state.view.route_table.as_ref();
             let service = table.and_then(|t| t.services.get(&registered.service));
             let warmup = service.map_or(Duration::ZERO, |s| s.warmup);
+            state.record_version(&registered);
             state.target_by_key.insert(key.clone(), id.clone());
             state.registry.insert(now, id, registered, warmup);
         }
@@ -358,7 +398,7 @@
         key: &str,
         value: &[u8],
         view: &PlatformView,
-    ) -> Option<(TargetId, super::dialect::TargetEntry)> {
+    ) -> Option<(TargetId, TargetEntry)> {
         match self.deps.layout.decode(key, value) {
             Ok(Some(PlatformEntry::Target(id, registered))) => {
                 view.region_of(&registered.data_centre)?;
@@ -413,6 +453,11 @@
         Some(now.saturating_sub(oldest))
     }
 
+    fn record_version(&mut self, entry: &TargetEntry) {
+        let version = (entry.service.clone(), entry.software_version.clone());
+        self.heard_versions.insert(version);
+    }
+
     /// Records that a call to the store failed at `at`, here or at another instance.
     fn record_store_failure(&mut self, at: Duration) {
         self.store_failed_at = self.store_failed_at.max(Some(at));
--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -5,9 +5,9 @@
 
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::{Follower, WATCH_MARGIN, WATCH_WAIT};
+use super::{Follower, REGISTRY_MIRROR, State, Update, WATCH_MARGIN, WATCH_WAIT};
 use crate::journal;
-use crate::store::{StoreError, StoreRevision};
+use crate::store::{StoreError, StoreRevision, WatchEvent};
 
 /// Shortest time between the starts of two watch calls. Changes that come in quick succession
 /// arrive together.
@@ -46,16 +46,22 @@
                     mirror.is_loaded(),
                 )
             };
-            let result = if must_load || !loaded {
+            let loads = must_load || !loaded;
+            let result = if loads {
                 self.load_mirror(index, &prefix).await.map(|()| false)
             } else {
-                self.update_mirror(index, &prefix, revision).await
+                self.update_mirror(index, &prefix, revision, WATCH_WAIT)
+                    .await
             };
             match result {
                 Ok(history_lost) => {
                     must_load = history_lost;
                     failures = 0;
-                    self.record_success(index);
+                    let update = match loads || history_lost {
+                        true => Update::Replaced,
+                        false => Update::Followed,
+                    };
+                    self.record_success(index, update);
                     sleep_until(began + MIN_WATCH_PERIOD).await;
                 }
                 Err(e) => {
@@ -70,7 +76,7 @@
         }
     }
 
-    async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
+    pub(super) async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
         let (entries, revision) = self.deps.store.list_at(prefix).await?;
         let mut state = self.state();
         let changed = state.followed[index].mirror.load(entries, revision);
@@ -78,19 +84,23 @@
         Ok(())
     }
 
-    /// Waits for changes of a prefix and applies them; returns whether the store has discarded the
-    /// changes, so that the prefix must be loaded again.
-    async fn update_mirror(
+    /// Waits up to `wait` for changes of a prefix and applies them; returns whether the store has
+    /// discarded the changes, so that the prefix must be loaded again.
+    pub(super) async fn update_mirror(
         &self,
         index: usize,
         prefix: &str,
         after: StoreRevision,
+        wait: Duration,
     ) -> Result<bool, StoreError> {
-        let changes = self.deps.store.poll_changes(prefix, after, WATCH_WAIT);
-        let (events, at) = timeout(WATCH_WAIT + WATCH_MARGIN, changes)
+        let changes = self.deps.store.poll_changes(prefix, after, wait);
+        let (events, at) = timeout(wait + WATCH_MARGIN, changes)
             .await
             .map_err(|_| StoreError::ResponseLost("the watch call timed out".to_owned()))??;
         let mut state = self.state();
+        if index == REGISTRY_MIRROR {
+            self.record_versions(&mut state, &events);
+        }
         let Ok(changed) = state.followed[index].mirror.apply(events, at) else {
             journal::line("history_lost")
                 .text("prefix", prefix)
@@ -104,14 +114,27 @@
         Ok(false)
     }
 
-    fn record_success(&self, index: usize) {
+    /// Records the software versions that targets had one after the other.
+    fn record_versions(&self, state: &mut State, events: &[WatchEvent]) {
+        for event in events {
+            let WatchEvent::Put(entry) = event else {
+                continue;
+            };
+            let decoded = self.decode_target(&entry.key, &entry.value, &state.view);
+            if let Some((_, target)) = decoded {
+                state.record_version(&target);
+            }
+        }
+    }
+
+    fn record_success(&self, index: usize, update: Update) {
         let now = self.now();
         let mut state = self.state();
         let followed = &mut state.followed[index];
         if std::mem::take(&mut followed.failing) {
             journal::line("store_back").text("prefix", followed.mirror.prefix());
         }
-        self.record_news(&mut state, index, now);
+        self.record_news(&mut state, index, now, update);
     }
 
     fn record_failure(&self, index: usize, e: &StoreError) {
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::withdrawals::{WirePosition, WireWithdrawals};
-use super::{Follower, MAX_NEWS_AGE, State, millis, whole_millis};
+use super::{Follower, MAX_NEWS_AGE, State, Update, millis, whole_millis};
 use crate::gateway::listeners::LISTENERS;
 use crate::gateway::mirror::{Changes, Gap};
 use crate::id::InstanceId;
@@ -49,7 +49,7 @@
 const PEER_QUERY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The kind of peer messages that request newer entries.
-const VIEW_KIND: &str = "view";
+pub(super) const VIEW_KIND: &str = "view";
 
 #[derive(Debug, Serialize, Deserialize)]
 struct WireRequest {
@@ -65,19 +65,20 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct WireResponse {
+pub(super) struct WireResponse {
     /// The changes of each mirror, if there are any.
     mirrors: Vec<Option<WireChanges>>,
     /// The age of the answering instance's news, if it has any.
-    news_age_ms: Option<u32>,
+    pub(super) news_age_ms: Option<u32>,
     /// The time since a call to the store failed at the answering instance.
     store_failure_age_ms: Option<u32>,
     /// The withdrawals that the other instance lacks.
     withdrawals: Option<WireWithdrawals>,
 }
 
+/// The changes of a mirror, as encoded between instances.
 #[derive(Debug, Serialize, Deserialize)]
-struct WireChanges {
+pub(in crate::gateway) struct WireChanges {
     revision: StoreRevision,
     is_snapshot: bool,
     /// The key, the value and the revision of each entry; the value of a large entry is left out
@@ -88,7 +89,7 @@
 }
 
 impl WireChanges {
-    fn new(changes: Changes, with_large: bool) -> Self {
+    pub(super) fn new(changes: Changes, with_large: bool) -> Self {
         let mut entries = Vec::with_capacity(changes.entries.len());
         for entry in changes.entries {
             let is_sent = with_large || entry.value.len() <= MAX_SENT_VALUE_BYTES;
@@ -242,7 +243,7 @@
         state.has_recent_news && !state.followed.iter().any(|f| f.failing)
     }
 
-    fn encode_request(
+    pub(super) fn encode_request(
         &self,
         wait: Duration,
         with_large: bool,
@@ -336,12 +337,7 @@
             let Some(changes) = changes.and_then(without_missing_values) else {
                 continue;
             };
-            let mirror = &mut state.followed[index].mirror;
-            let (was_loaded, era) = (mirror.is_loaded(), mirror.revision().era);
-            let changed = mirror.merge(changes);
-            if !changed.is_empty() || !was_loaded || mirror.revision().era != era {
-                self.apply(&mut state, index, &changed);
-            }
+            self.merge(&mut state, index, changes);
         }
         self.hear_withdrawals(&mut state, response.withdrawals);
         let Some(age) = response.news_age_ms else {
@@ -349,11 +345,22 @@
         };
         for index in 0..count {
             if state.followed[index].mirror.is_loaded() {
-                self.record_news(&mut state, index, now.saturating_sub(millis(age)));
+                let news_at = now.saturating_sub(millis(age));
+                self.record_news(&mut state, index, news_at, Update::Replaced);
             }
         }
     }
 
+    /// Applies another instance's changes of a mirror.
+    pub(super) fn merge(&self, state: &mut State, index: usize, changes: Changes) {
+        let mirror = &mut state.followed[index].mirror;
+        let (was_loaded, era) = (mirror.is_loaded(), mirror.revision().era);
+        let changed = mirror.merge(changes);
+        if !changed.is_empty() || !was_loaded || mirror.revision().era != era {
+            self.apply(state, index, &changed);
+        }
+    }
+
     /// Returns what the mirrors of another instance lack.
     fn changes_for(&self, request: &WireRequest) -> Vec<Option<WireChanges>> {
         let state = self.state();
@@ -432,7 +439,7 @@
 
 /// Converts changes from their form in messages; `None` if a value is missing, so that the mirror
 /// must not count as up to date.
-fn without_missing_values(wire: WireChanges) -> Option<Changes> {
+pub(super) fn without_missing_values(wire: WireChanges) -> Option<Changes> {
     let mut entries = Vec::with_capacity(wire.entries.len());
     for (key, value, mod_revision) in wire.entries {
         entries.push(Entry {
--- a/src/gateway/origin_news.rs
+++ b/src/gateway/origin_news.rs
@@ -47,7 +47,8 @@
 /// Timeout of a question for the history.
 const HISTORY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time between two questions for the history while it is incomplete.
+/// Time between two looks at the news of the registry, and between two questions for the history while
+/// it is incomplete.
 const HISTORY_PERIOD: Duration = Duration::from_millis(500);
 
 /// Time between two looks of a starting instance for others.
@@ -58,7 +59,7 @@
 
 /// The history of software versions, as encoded between instances.
 #[derive(Debug, Serialize, Deserialize)]
-struct WireHistory {
+pub(super) struct WireHistory {
     complete_in_ms: u64,
     /// Service, version, and for how long it has been gone.
     versions: Vec<(SmolStr, SmolStr, Option<u64>)>,
@@ -152,7 +153,8 @@
                 software_version,
             }),
             versions: wire.versions,
-            covers_memory: wire.covers_memory,
+            // Says how far back the other instance has seen, but not up to when.
+            covers_memory: false,
         }
     }
 }
@@ -217,16 +219,44 @@
         let fleet = self.fleet();
         let keepers = self.keepers(stream, &fleet);
         let near = keepers.near();
-        let mut testimonies = self.ask_keepers(near, stream, service, NEAR_TIMEOUT).await;
-        // An instance that hears nobody may have missed that a version has begun to serve.
-        if !testimonies.is_empty() || self.follower.has_recent_news() {
-            testimonies.push(own);
+        let told = self.ask_keepers(near, stream, service, NEAR_TIMEOUT).await;
+        let recorded = told.iter().find_map(|t| t.origin.clone());
+        if recorded.is_some() {
+            return recorded;
         }
-        if let Some(origin) = find_origin(service, &testimonies) {
-            return Some(origin);
+        let recorded = async {
+            let far = keepers.far();
+            let told = self.ask_keepers(far, stream, service, FAR_TIMEOUT).await;
+            told.into_iter().find_map(|t| t.origin)
+        };
+        tokio::select! {
+            Some(origin) = self.infer_origin(stream, service, told) => Some(origin),
+            Some(origin) = recorded => Some(origin),
+            else => None,
+        }
+    }
+
+    /// Finds the origin of a stream without a record: the only version that has served for as long as
+    /// streams may be taken up, until now.
+    ///
+    /// The news of this instance and of others may be old without their knowing it, and a version that
+    /// has begun to serve since may have begun the stream. So the registry is read again.
+    async fn infer_origin(
+        &self,
+        stream: &SmolStr,
+        service: Option<&SmolStr>,
+        mut testimonies: Vec<Testimony>,
+    ) -> Option<Origin> {
+        let own = || {
+            self.update_software_versions();
+            lock(&self.origins).testimony(self.clock.now(), stream, service)
+        };
+        testimonies.push(own());
+        let may_be_inferred = find_origin(service, &testimonies).is_some();
+        if !may_be_inferred || !self.confirm_registry().await {
+            return None;
         }
-        let far = keepers.far();
-        testimonies.extend(self.ask_keepers(far, stream, service, FAR_TIMEOUT).await);
+        testimonies.push(own());
         find_origin(service, &testimonies)
     }
 
@@ -273,19 +303,47 @@
         testimonies
     }
 
+    /// Asks an instance of an older build for the history of software versions.
+    async fn ask_for_history(&self, peer: SocketAddr) -> Result<(), PeerError> {
+        let news_time = self.follower.ask_for_news_time(&*self.peers, peer).await;
+        let Some(as_of) = news_time else {
+            return Ok(());
+        };
+        let question = self
+            .peers
+            .ask(peer, HISTORY_KIND, Bytes::new(), HISTORY_TIMEOUT);
+        let history = decode::<WireHistory>(&question.await?)?;
+        self.inherit_history(as_of, history);
+        Ok(())
+    }
+
+    /// Adds the history of another instance, which had all news up to `as_of`.
+    pub(super) fn inherit_history(&self, as_of: Duration, history: WireHistory) {
+        self.update_software_versions();
+        let now = self.clock.now();
+        lock(&self.origins).inherit(now, as_of, &history.into());
+    }
+
     /// Forgets the streams that callers do not take up any more.
     pub(super) fn expire_origins(&self) {
         lock(&self.origins).expire(self.clock.now());
     }
 
     /// Takes over the software versions of the targets in the current view.
-    fn update_software_versions(&self) {
+    pub(super) fn update_software_versions(&self) {
         let view = self.view();
         let entries = view.targets.values().map(|known| &known.entry);
         let running = entries.map(|entry| (&entry.service, &entry.software_version));
         let uncopied = {
             let now = self.clock.now();
+            let is_in_touch = self.follower.has_recent_news();
+            let followed_since = self.follower.registry_followed_since();
+            let heard = self.follower.take_heard_versions();
             let mut origins = lock(&self.origins);
+            for (service, version) in &heard {
+                origins.hear_version(now, service, version);
+            }
+            origins.set_followed(followed_since, is_in_touch);
             origins.update_versions(now, running);
             origins.take_uncopied(now)
         };
@@ -321,10 +379,26 @@
     }
 }
 
-/// Asks other instances which software versions services had before this instance started, until
-/// that is known for as long as streams last.
+/// Asks other instances which software versions services had before this instance started, or while
+/// it got no news, whenever that is not known for as long as streams last.
 async fn complete_history(gateway: Arc<Gateway>) {
-    while !lock(&gateway.origins).covers_memory(gateway.clock.now()) {
+    let mut was_complete = false;
+    loop {
+        gateway.update_software_versions();
+        let is_complete = lock(&gateway.origins).covers_memory(gateway.clock.now());
+        if is_complete != was_complete {
+            was_complete = is_complete;
+            let history = lock(&gateway.origins).history(gateway.clock.now());
+            let versions = history.versions.iter();
+            let seen: Vec<String> = versions.map(|(s, v, _)| format!("{s} {v}")).collect();
+            journal::line("software_versions")
+                .value("complete", is_complete)
+                .text("seen", &seen.join(","));
+        }
+        if is_complete {
+            sleep(HISTORY_PERIOD).await;
+            continue;
+        }
         let fleet = gateway.fleet();
         let others = fleet.members.iter();
         let others = others.filter(|m| m.health == Health::Live && m.id != gateway.id);
@@ -332,25 +406,15 @@
             sleep(STARTUP_POLL_PERIOD).await;
             continue;
         };
-        let asked = gateway
-            .peers
-            .ask(peer, HISTORY_KIND, Bytes::new(), HISTORY_TIMEOUT);
-        let asked = asked.await.and_then(|a| decode::<WireHistory>(&a));
-        match asked {
-            Ok(wire) => {
-                let now = gateway.clock.now();
-                lock(&gateway.origins).inherit(now, &wire.into());
-            }
-            Err(e) => {
-                journal::line("history_unknown").text("error", &e.to_string());
-            }
+        let asked = match gateway.ask_for_registry(peer).await {
+            Err(PeerError::UnknownKind(_)) => gateway.ask_for_history(peer).await,
+            asked => asked.map(drop),
+        };
+        if let Err(e) = asked {
+            journal::line("history_unknown").text("error", &e.to_string());
         }
         sleep(HISTORY_PERIOD).await;
     }
-    let history = lock(&gateway.origins).history(gateway.clock.now());
-    let versions = history.versions.iter();
-    let seen: Vec<String> = versions.map(|(s, v, _)| format!("{s} {v}")).collect();
-    journal::line("software_versions").text("seen", &seen.join(","));
 }
 
 /// Returns the address and the incarnation of each live instance.
@@ -374,11 +438,14 @@
 
     async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
         let question: WireQuestion = decode(&body)?;
-        let testimony = lock(&self.0.origins).testimony(
+        self.0.update_software_versions();
+        let mut testimony = lock(&self.0.origins).testimony(
             self.0.clock.now(),
             &question.stream,
             question.service.as_ref(),
         );
+        // Instances of older builds rely on it.
+        testimony.covers_memory &= self.0.follower.has_recent_news();
         encode(&WireTestimony::from(testimony))
     }
 }
@@ -393,6 +460,10 @@
     }
 
     async fn answer(&self, _: Bytes) -> Result<Bytes, PeerError> {
+        if !self.0.follower.has_recent_news() {
+            return Err(PeerError::Refused("the news is out of date".to_owned()));
+        }
+        self.0.update_software_versions();
         let history = lock(&self.0.origins).history(self.0.clock.now());
         encode(&WireHistory::from(history))
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -28,6 +28,7 @@
 use super::pool::{Pool, Prefill};
 use super::quota::{Quota, follow_organisations};
 use super::region_figures::{RoomHandler, WaitHandler};
+use super::registry_news::RegistryHandler;
 use super::send_time::SendTimeHandler;
 use super::settings::{GatewaySettings, ReloadableSettings};
 use super::stream_origin::StreamOrigins;
@@ -236,6 +237,7 @@
         .with_handler(Arc::new(ReportHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(SendTimeHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(HistoryHandler(Arc::clone(&gateway))))
+        .with_handler(Arc::new(RegistryHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(OriginHandler(Arc::clone(&gateway))))
         .with_handler(Arc::new(OriginRecordHandler(Arc::clone(&gateway))));
     tokio::spawn(send_reports(Arc::clone(&gateway)));
--- a/src/gateway/stream_origin.rs
+++ b/src/gateway/stream_origin.rs
@@ -82,6 +82,11 @@
     versions: HashMap<SmolStr, BTreeMap<SmolStr, Option<Duration>>>,
     /// The services whose records other instances keep too.
     copied_services: BTreeSet<SmolStr>,
+    is_first_start: bool,
+    /// Since when the instance has followed the registry without a gap.
+    followed_since: Option<Duration>,
+    /// Whether the instance gets news of the registry.
+    is_in_touch: bool,
 }
 
 impl StreamOrigins {
@@ -97,6 +102,24 @@
             expiries: VecDeque::new(),
             versions: HashMap::new(),
             copied_services: BTreeSet::new(),
+            is_first_start,
+            followed_since: None,
+            is_in_touch: true,
+        }
+    }
+
+    /// Sets since when the instance has followed the registry without a gap, and whether it gets news
+    /// of the registry now.
+    ///
+    /// A version may have come and left in a gap, and its streams may still be taken up.
+    pub fn set_followed(&mut self, since: Option<Duration>, is_in_touch: bool) {
+        self.is_in_touch = is_in_touch;
+        let Some(since) = since.filter(|since| self.followed_since != Some(*since)) else {
+            return;
+        };
+        let is_first = self.followed_since.replace(since).is_none();
+        if !(is_first && self.is_first_start) {
+            self.covers_at = self.covers_at.max(since + self.memory);
         }
     }
 
@@ -138,13 +161,21 @@
         }
     }
 
-    /// Adds the history of another instance.
-    pub fn inherit(&mut self, now: Duration, history: &History) {
+    /// Adds the history of another instance, which had all news up to `as_of`.
+    pub fn inherit(&mut self, now: Duration, as_of: Duration, history: &History) {
         for (service, version, gone_for) in &history.versions {
             let gone_at = now.saturating_sub(gone_for.unwrap_or_default());
             self.add_version(gone_at, service, version);
         }
-        self.covers_at = self.covers_at.min(now + history.complete_in);
+        // What came and left between the other's news and the begin of the own news is known to neither.
+        if self.followed_since.is_none_or(|since| as_of >= since) {
+            self.covers_at = self.covers_at.min(now + history.complete_in);
+        }
+    }
+
+    /// Adds a version that a target has, or has had shortly before.
+    pub fn hear_version(&mut self, now: Duration, service: &SmolStr, version: &SmolStr) {
+        self.add_version(now, service, version);
     }
 
     /// Adds a version that a target had at `seen_at`.
@@ -259,10 +290,10 @@
         own
     }
 
-    /// Tells whether a stream of the service may have begun at one of several versions, as far as
-    /// this instance knows.
+    /// Tells whether other instances may need the record of a stream of the service: it may have begun
+    /// at one of several versions, or nobody may be able to tell that there is only one.
     fn is_copied(&self, now: Duration, service: &SmolStr) -> bool {
-        !self.covers_memory(now) || self.versions_of(now, service).len() > 1
+        !self.is_in_touch || !self.covers_memory(now) || self.versions_of(now, service).len() > 1
     }
 
     /// Tells whether all versions are known at which a stream may have begun.
--- a/tests/stream_origin.rs
+++ b/tests/stream_origin.rs
@@ -211,7 +211,7 @@
     old.update_versions(ms(50_000), versions(&["v2".into()]));
     let mut fresh = StreamOrigins::new(ms(31_000), MEMORY, false);
     // The clocks of the two instances differ by 30 s.
-    fresh.inherit(ms(31_000), &old.history(ms(61_000)));
+    fresh.inherit(ms(31_000), ms(31_000), &old.history(ms(61_000)));
     fresh.update_versions(ms(31_000), versions(&["v2".into()]));
     let early = testimony(&fresh, ms(31_000), "x");
     assert!(early.covers_memory);
@@ -220,11 +220,40 @@
     assert_eq!(later.versions, ["v2"]);
     let mut third = StreamOrigins::new(ms(0), MEMORY, false);
     let young = StreamOrigins::new(ms(0), MEMORY, false);
-    third.inherit(ms(0), &young.history(ms(10_000)));
+    third.inherit(ms(0), ms(0), &young.history(ms(10_000)));
     assert!(!third.covers_memory(ms(19_999)));
     assert!(third.covers_memory(ms(20_000)));
 }
 
+#[test]
+fn a_version_that_may_have_served_in_a_gap_of_the_news_counts() {
+    let mut origins = remembers(&["v1"]);
+    origins.set_followed(Some(ms(0)), true);
+    let heard_again = ms(60_000);
+    origins.set_followed(Some(heard_again), true);
+    let before_end = heard_again + MEMORY - ms(1);
+    assert!(!testimony(&origins, before_end, "x").covers_memory);
+    assert!(testimony(&origins, heard_again + MEMORY, "x").covers_memory);
+    // Another instance has followed the registry all the time, but its news ends in the gap.
+    let other = remembers(&["v1"]);
+    origins.inherit(before_end, heard_again - ms(1), &other.history(before_end));
+    assert!(!origins.covers_memory(before_end));
+    origins.inherit(before_end, heard_again, &other.history(before_end));
+    assert!(origins.covers_memory(before_end));
+}
+
+#[test]
+fn records_are_copied_while_the_registry_cannot_be_followed() {
+    let mut origins = remembers(&["v1"]);
+    let stream = SmolStr::from("x");
+    assert!(!origins.record(MEMORY, &stream, &origin("v1")));
+    origins.set_followed(None, false);
+    assert_eq!(origins.take_uncopied(MEMORY), [(stream, origin("v1"))]);
+    assert!(origins.record(MEMORY, &"y".into(), &origin("v1")));
+    origins.set_followed(None, true);
+    assert!(!origins.record(MEMORY, &"z".into(), &origin("v1")));
+}
+
 #[test]
 fn a_version_that_has_gone_counts_for_as_long_as_its_streams_may_be_taken_up() {
     let mut origins = remembers(&["v1"]);
