Ask a target whether it is warm before sending on old news

Cause: only targets that are known to be cold are bounded. An instance that is cut off does not hear that a target has become cold, and takes itself for the scheduler of all targets, beside the one in touch.

Without current news, an instance asks the target at its health path and sends only if that says warm; else the target counts as cold for a second, and instances out of touch share the half of its rate that the scheduler in touch does not use. The answer is no older than a round trip, so what is sent to a target that has just become cold does not depend on how long a cut lasts.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -65,6 +65,7 @@
 pub mod tolerance;
 mod upstream;
 pub mod urgency;
+pub mod warmth;
 pub mod warmup;
 pub mod withdrawal;
 pub mod withdrawal_news;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -21,6 +21,7 @@
 use super::withdrawal::QuietEnd;
 use crate::id::{RegionId, TargetId};
 use crate::journal;
+use crate::member::Fleet;
 use crate::refusal::{Code, Ran, Refusal};
 
 /// Number of unreachable targets after which a request is not tried at further targets of the
@@ -371,6 +372,24 @@
         !job.prompt.is_empty() || self.pool().brittle().schedules(&job.service)
     }
 
+    /// Returns all instances of this region that may send requests to its targets. An instance that is
+    /// believed dead may still send.
+    pub(super) fn known_instances<'a>(
+        &'a self,
+        view: &'a PlatformView,
+        fleet: &'a Fleet,
+    ) -> Vec<&'a str> {
+        let mut instances: Vec<&str> = vec![self.id.as_str()];
+        let listed = view.instances.iter().map(|i| (&i.id, &i.region));
+        let members = fleet.members.iter().map(|m| (&m.id, &m.region));
+        for (id, region) in listed.chain(members) {
+            if *region == self.region && !instances.contains(&id.as_str()) {
+                instances.push(id.as_str());
+            }
+        }
+        instances
+    }
+
     /// Calls `run_query` with the pool and a query built from the demand, the region's known
     /// instances and the warm-up bounds.
     pub(super) fn query_pool<T>(
@@ -380,15 +399,7 @@
     ) -> T {
         let view = self.view();
         let fleet = self.fleet();
-        // An instance that is believed dead may still send, so all known instances count.
-        let mut instances: Vec<&str> = vec![self.id.as_str()];
-        let listed = view.instances.iter().map(|i| (&i.id, &i.region));
-        let members = fleet.members.iter().map(|m| (&m.id, &m.region));
-        for (id, region) in listed.chain(members) {
-            if *region == self.region && !instances.contains(&id.as_str()) {
-                instances.push(id.as_str());
-            }
-        }
+        let instances = self.known_instances(&view, &fleet);
         let reloadable_settings = self.reloadable_settings();
         let warmup = if self.is_starting() {
             (0.0, 0.0)
@@ -400,7 +411,7 @@
         };
         let query = TargetQuery {
             demand,
-            own_id: self.id.as_str(),
+            senders: &[self.id.as_str()],
             instances: &instances,
             warmup,
             owned_since: None,
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
 use smol_str::SmolStr;
 
 use super::routes::RouteTable;
+use super::warmth::Warmth;
 use crate::id::{OrganisationId, TargetId};
 
 /// A target's entry in the platform's registry.
@@ -185,6 +186,16 @@
     /// Reads the head of a target's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
+    /// Whether the answer to a question for a target's health is of that target.
+    fn is_of_target(&self, _headers: &HeaderMap, _target: &TargetId) -> bool {
+        true
+    }
+
+    /// Reads from the answer to a question for a target's health whether the target is cold.
+    fn read_warmth(&self, _headers: &HeaderMap) -> Warmth {
+        Warmth::Unknown
+    }
+
     /// Returns the path at which a target reports its load without taking a slot; `None` if targets do
     /// not offer it.
     fn load_report_path(&self) -> Option<&str> {
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -243,6 +243,14 @@
         state.has_recent_news && !state.followed.iter().any(|f| f.failing)
     }
 
+    /// Whether the instance's own calls to the store succeed and its news is as recent as that of an
+    /// instance that watches the store.
+    pub(in crate::gateway) fn has_current_news(&self) -> bool {
+        let state = self.state();
+        let age = state.news_age(self.now());
+        age.is_some_and(|age| age <= MAX_NEWS_AGE) && !state.followed.iter().any(|f| f.failing)
+    }
+
     pub(super) fn encode_request(
         &self,
         wait: Duration,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -20,6 +20,7 @@
 use super::registry::KnownTarget;
 use super::scheduler::{self, Scheduler, scheduler_of, schedulers};
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
+use super::warmth::{COLD_TIME, WireCold};
 use super::withdrawal::QuietEnd;
 use super::{Gateway, lock};
 use crate::id::{InstanceId, RegionId, TargetId};
@@ -438,6 +439,7 @@
                 priority: urgency.priority,
                 yields: urgency.yields,
                 brittle: self.known_brittle(&job.service),
+                cold: self.known_cold(&job.service),
             })?;
             match self.peers.ask(to, RANKED_PLACE_KIND, body, timeout).await {
                 Err(PeerError::UnknownKind(kind)) => {
@@ -452,6 +454,10 @@
                 }
             }
         }
+        // This build's scheduler does not take word of cold targets.
+        let cold = self.known_cold(&job.service).into_iter().map(|c| c.target);
+        let tried: Vec<TargetId> = tried.iter().cloned().chain(cold).collect();
+        let request = encode(&self.place_request(job, &tried))?;
         let answer = self.peers.ask(to, PLACE_KIND, request, timeout).await?;
         Ok(PlaceAnswer::from(decode::<WirePlace>(&answer)?))
     }
@@ -498,6 +504,42 @@
         brittle
     }
 
+    /// Returns the targets of a service that have said themselves that they are cold.
+    fn known_cold(&self, service: &SmolStr) -> Vec<WireCold> {
+        let now = self.clock.now();
+        let view = self.view();
+        let mut cold = Vec::new();
+        for (target, started_unix_ms, left) in self.pool().found_cold(now) {
+            if view
+                .targets
+                .get(&target)
+                .is_some_and(|k| k.entry.service == *service)
+            {
+                cold.push(WireCold {
+                    target,
+                    started_unix_ms,
+                    left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+                });
+            }
+        }
+        cold
+    }
+
+    /// Takes over which targets another instance has found to be cold.
+    fn hear_cold(&self, cold: &[WireCold]) {
+        let now = self.clock.now();
+        let view = self.view();
+        let mut pool = self.pool();
+        for said in cold {
+            let known = view.targets.get(&said.target);
+            let is_same = |k: &&KnownTarget| k.entry.started_unix_ms == said.started_unix_ms;
+            if let Some(known) = known.filter(is_same) {
+                let left = Duration::from_millis(said.left_ms.into()).min(COLD_TIME);
+                pool.record_cold(&said.target, known, now + left);
+            }
+        }
+    }
+
     /// Chooses a target without its scheduler. Cold targets and those with limits are left out, as
     /// only their schedulers know how many requests they have been sent.
     fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
@@ -524,6 +566,16 @@
         let now = self.clock.now();
         let view = self.view();
         let settings = self.reloadable_settings();
+        let fleet = self.fleet();
+        let own = [self.id.as_str()];
+        let (senders, instances) = if self.has_current_news() {
+            (own.to_vec(), own.to_vec())
+        } else {
+            // Others may schedule the same targets: one that is in touch, and any that is cut off.
+            let senders = fleet.live_members(&self.region).map(|m| m.id.as_str());
+            let senders = senders.filter(|id| *id != own[0]).chain(own);
+            (senders.collect(), self.known_instances(&view, &fleet))
+        };
         let mut scheduling = self.scheduling();
         let query = TargetQuery {
             demand: Demand {
@@ -533,8 +585,8 @@
                 tried: &request.tried,
                 avoided: &request.avoided,
             },
-            own_id: self.id.as_str(),
-            instances: &[self.id.as_str()],
+            senders: &senders,
+            instances: &instances,
             warmup: (
                 settings.warmup_overshoot * SCHEDULER_WARMUP_FRACTION,
                 settings.warmup_slack * SCHEDULER_WARMUP_FRACTION,
@@ -709,7 +761,7 @@
                 prompt,
                 ..Demand::of_service(service)
             },
-            own_id: self.id.as_str(),
+            senders: &[self.id.as_str()],
             instances: &[self.id.as_str()],
             warmup: (0.0, 0.0),
             owned_since: Some(scheduling.scheduler.owned_since()),
@@ -758,6 +810,7 @@
             pool.brittle()
                 .hear(process, &request.service, said.limit(now));
         }
+        self.0.hear_cold(&ranked.cold);
         let answer = self.0.place_here(&request, urgency);
         encode_named(&WireRankedAnswer {
             place: encode(&answer.place)?,
--- a/src/gateway/placement/wire.rs
+++ b/src/gateway/placement/wire.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::pool::TargetEvent;
 use crate::gateway::target_limits::{ProcessKey, WireLimit};
+use crate::gateway::warmth::WireCold;
 use crate::gateway::withdrawal::QuietEnd;
 use crate::id::{InstanceId, TargetId};
 
@@ -43,6 +44,9 @@
     /// knows it.
     #[serde(default)]
     pub(super) brittle: Vec<(ProcessKey, WireLimit)>,
+    /// The targets that the sender has found to be cold.
+    #[serde(default)]
+    pub(super) cold: Vec<WireCold>,
 }
 
 /// The answer to a [`WireRankedRequest`].
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -74,8 +74,9 @@
 pub struct TargetQuery<'a> {
     /// What the request asks of its target.
     pub demand: Demand<'a>,
-    /// The id of this instance.
-    pub own_id: &'a str,
+    /// The ids of the instances for whose requests the target is chosen; they have their shares of a
+    /// cold target's request rate together.
+    pub senders: &'a [&'a str],
     /// All known instances of the region, which split the request rate that a cold target (a target
     /// in its warm-up time) can take.
     pub instances: &'a [&'a str],
@@ -223,7 +224,7 @@
     /// Counts a choice that [`Pool::evaluate`] returned and that is about to be used.
     pub fn record_choice(&mut self, now: Duration, choice: &Choice) {
         let state = self.state(&choice.id, &choice.known);
-        if choice.known.cold_until > now {
+        if choice.known.cold_until.max(state.cold_until) > now {
             // The choice is counted before the send, as other requests choose while this request
             // connects.
             state.recent_sends.record(now);
@@ -368,6 +369,30 @@
         }
     }
 
+    /// Records that a target counts as cold until `until`, which the registry may not have told.
+    pub fn record_cold(&mut self, id: &TargetId, known: &KnownTarget, until: Duration) {
+        let state = self.state(id, known);
+        state.cold_until = state.cold_until.max(until);
+    }
+
+    /// Returns the targets that were found to be cold, when their processes started, and how much
+    /// longer they count as cold.
+    pub fn found_cold(&self, now: Duration) -> Vec<(TargetId, u64, Duration)> {
+        let mut found = Vec::new();
+        for (id, state) in &self.states {
+            let left = state.cold_until.saturating_sub(now);
+            if !left.is_zero() {
+                found.push((id.clone(), state.started_unix_ms, left));
+            }
+        }
+        found
+    }
+
+    /// Whether a target is known to be cold.
+    pub fn is_cold(&mut self, now: Duration, id: &TargetId, known: &KnownTarget) -> bool {
+        known.cold_until.max(self.state(id, known).cold_until) > now
+    }
+
     /// Records that a request has ended before the target has read its prompt, so that the target
     /// reads the prompts behind it sooner.
     pub fn record_unread(&mut self, now: Duration, id: &TargetId, tokens: u64) {
@@ -587,7 +612,7 @@
         known: &KnownTarget,
         query: &TargetQuery<'_>,
     ) -> bool {
-        if known.cold_until <= now {
+        if !self.is_cold(now, id, known) {
             return true;
         }
         let per_s = view.warmup_per_s(query.demand.service);
@@ -599,12 +624,12 @@
             return false;
         }
         let (overshoot, slack) = query.warmup;
-        let share = warmup::share(
-            per_s * overshoot + slack,
-            id.as_str(),
-            query.own_id,
-            query.instances,
-        );
+        let bound = per_s * overshoot + slack;
+        let shares = query.senders.iter().map(|sender| {
+            let target = id.as_str();
+            warmup::share(bound, target, sender, query.instances)
+        });
+        let share = shares.sum();
         self.state(id, known).recent_sends.has_room(now, share)
     }
 }
--- a/src/gateway/pool/target_state.rs
+++ b/src/gateway/pool/target_state.rs
@@ -82,6 +82,8 @@
     pub(super) ejection: Ejection,
     pub(super) failure_rate: f64,
     pub(super) recent_sends: RecentSends,
+    /// Until when the target counts as cold by what it has said itself.
+    pub(super) cold_until: Duration,
     pub(super) reading: ReadingRate,
     /// The average time for which a request holds a slot, in milliseconds; `None` before the first
     /// one ends.
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -67,6 +67,8 @@
     pub warmup: Duration,
     /// Requests per second that a cold target can take; 0 means that targets have no cold phase.
     pub warmup_per_s: f64,
+    /// The path at which a target says whether it is sound and warm, if it does.
+    pub health_path: Option<SmolStr>,
 }
 
 /// The unit in which requests count against an organisation's rate.
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -50,6 +50,9 @@
         choice: &Choice,
         mut place: Option<Place>,
     ) -> Result<Reply, AttemptError> {
+        if !self.may_send(&job.id, choice).await {
+            return Err(AttemptError::NotRun("the target may be cold".to_owned()));
+        }
         let address = choice.known.entry.address;
         let force_new = !job.kind.may_repeat();
         let connection = match self.connect(address, force_new).await {
@@ -449,7 +452,10 @@
 
 /// Returns how long the target keeps the connection open while unused, if the target says;
 /// `None` if the target closes the connection after the answer.
-fn keep_alive_after(headers: &HeaderMap, response_head: &ResponseHead) -> Option<Option<Duration>> {
+pub(super) fn keep_alive_after(
+    headers: &HeaderMap,
+    response_head: &ResponseHead,
+) -> Option<Option<Duration>> {
     for value in headers.get_all(CONNECTION) {
         if value.as_bytes().eq_ignore_ascii_case(b"close") {
             return None;
--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -158,7 +158,7 @@
         }
         let query = TargetQuery {
             demand: Demand::of_service(&SERVICE),
-            own_id: scheduler,
+            senders: &[scheduler],
             instances: &[],
             warmup: (1.0, 0.0),
             owned_since: Some(&self.owned[scheduler]),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -319,6 +319,7 @@
     let service = Service {
         warmup: SECOND * 3,
         warmup_per_s: 2.0,
+        health_path: None,
     };
     table.services.insert("s".into(), service);
     view.route_table = Some(Arc::new(table));
@@ -351,7 +352,7 @@
             tried,
             ..Demand::of_service(&SERVICE)
         },
-        own_id: "i0",
+        senders: &["i0"],
         instances: &["i0"],
         warmup: (1.0, 0.0),
         owned_since: None,
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -159,7 +159,7 @@
         let scheduled = way == Way::Scheduled;
         let query = TargetQuery {
             demand: demand(prompt),
-            own_id: &self.names[judge],
+            senders: &[&self.names[judge]],
             instances: &[],
             warmup: (1.0, 0.0),
             owned_since: scheduled.then_some(&self.owned[judge]),
@@ -311,6 +311,7 @@
     let service = limpetstand::gateway::routes::Service {
         warmup: ms(60_000),
         warmup_per_s: 2.0,
+        health_path: None,
     };
     table.services.insert(SERVICE.clone(), service);
     view.route_table = Some(Arc::new(table));
@@ -320,7 +321,7 @@
     let mut chosen = |now| {
         let query = TargetQuery {
             demand: demand(&[]),
-            own_id: "i0",
+            senders: &["i0"],
             instances: &["i0"],
             warmup: (1.0, 0.0),
             owned_since: Some(&owned),
--- a/tests/urgency.rs
+++ b/tests/urgency.rs
@@ -147,7 +147,7 @@
                         prompt: &prompt,
                         ..Demand::of_service(&SERVICE)
                     },
-                    own_id: "i0",
+                    senders: &["i0"],
                     instances: &[],
                     warmup: (1.0, 0.0),
                     owned_since: Some(scheduler.owned_since()),
