--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use super::poll::MAX_SENT_VALUE_BYTES;
 use super::{Follower, REGISTRY_MIRROR, State, Update, WATCH_MARGIN, WATCH_WAIT};
 use crate::journal;
-use crate::store::{StoreError, StoreRevision, WatchEvent};
+use crate::store::{Entry, StoreError, StoreRevision, WatchEvent};
 
 /// Shortest time between the starts of two watch calls. Changes that come in quick succession
 /// arrive together.
@@ -77,8 +79,13 @@
     }
 
     pub(super) async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
-        let (entries, revision) = self.deps.store.list_at(prefix).await?;
+        let (mut entries, revision) = self.deps.store.list_at(prefix).await?;
         let mut state = self.state();
+        if index == REGISTRY_MIRROR {
+            for entry in &mut entries {
+                self.drop_odd_value(&state, entry);
+            }
+        }
         let changed = state.followed[index].mirror.load(entries, revision);
         self.apply(&mut state, index, &changed);
         Ok(())
@@ -94,11 +101,16 @@
         wait: Duration,
     ) -> Result<bool, StoreError> {
         let changes = self.deps.store.poll_changes(prefix, after, wait);
-        let (events, at) = timeout(wait + WATCH_MARGIN, changes)
+        let (mut events, at) = timeout(wait + WATCH_MARGIN, changes)
             .await
             .map_err(|_| StoreError::ResponseLost("the watch call timed out".to_owned()))??;
         let mut state = self.state();
         if index == REGISTRY_MIRROR {
+            for event in &mut events {
+                if let WatchEvent::Put(entry) = event {
+                    self.drop_odd_value(&state, entry);
+                }
+            }
             self.record_versions(&mut state, &events);
         }
         let Ok(changed) = state.followed[index].mirror.apply(events, at) else {
@@ -114,6 +126,19 @@
         Ok(false)
     }
 
+    /// Empties a large value that names no target. Other writers may leave many of them, which would
+    /// take up memory and delay the others on their way to other instances.
+    fn drop_odd_value(&self, state: &State, entry: &mut Entry) {
+        if entry.value.len() <= MAX_SENT_VALUE_BYTES
+            || self
+                .decode_target(&entry.key, &entry.value, &state.view)
+                .is_some()
+        {
+            return;
+        }
+        entry.value = Bytes::new();
+    }
+
     /// Records the software versions that targets had one after the other.
     fn record_versions(&self, state: &mut State, events: &[WatchEvent]) {
         for event in events {
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -33,7 +33,7 @@
 /// Size above which the value of an entry is not sent to the instances that poll this one; they read
 /// it from the store. A small instance's link would be busy for seconds with sending a large
 /// configuration to all its followers.
-const MAX_SENT_VALUE_BYTES: usize = 8 * 1024;
+pub(super) const MAX_SENT_VALUE_BYTES: usize = 8 * 1024;
 
 /// Longest random delay before a large value is read from the store, so that not all instances
 /// read it at once.
