Compare the id of an answer before anything else of it is used

What callers saw (a report of another operator): after a faulty target had written an earlier refusal once more on a kept connection, they were told that requests had not run which the target had run.

Cause: read_answer_head acted on a refusal, and took over load, quiet and rates, before it compared ids; a refusal without an id counted as the target's. Only requests that may run once were safe, as they get a connection of their own.

The decision has one home now, target::answer_match, and comes first. A refusal without an id belongs to the request only on a connection that has carried no other. Attempts after the first get a connection of their own, since all attempts of a request carry the same id.

--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -25,6 +25,7 @@
 use super::{Gateway, lock};
 use crate::journal;
 use crate::refusal::{Code, Refusal};
+use crate::target::answer_match::{self, MissingId};
 use crate::target::{AnswerProgress, Framing};
 
 /// Why an attempt at a target returned no usable answer.
@@ -54,7 +55,8 @@
             return Err(AttemptError::NotRun("the target may be cold".to_owned()));
         }
         let address = choice.known.entry.address;
-        let force_new = !job.kind.may_repeat();
+        // The copy of an answer to an earlier attempt would carry the id of this one.
+        let force_new = !job.kind.may_repeat() || job.attempts > 0;
         let connection = match self.connect(address, force_new).await {
             Ok(connection) => connection,
             Err(e) => {
@@ -206,6 +208,26 @@
         let (parts, body) = response.into_parts();
         let response_head = self.dialect.read_response(parts.status, &parts.headers);
         let now = self.clock.now();
+        let refuses = response_head.not_run || response_head.wrong_target;
+        let is_success = parts.status.is_success();
+        let missing_id = MissingId::of_answer(refuses, is_success, connection.is_reused());
+        let stated_id = response_head.id.as_ref().map(|id| id.as_bytes());
+        if !answer_match::belongs(job.id.as_bytes(), stated_id, missing_id) {
+            self.pool().record_error(&choice.id);
+            request_guard.report(TargetEvent::Failed);
+            metrics::counter!("limpetstand_foreign_answers_total").increment(1);
+            journal::line("foreign_answer")
+                .text("request", &job.id)
+                .text("target", choice.id.as_str())
+                .text("stated", response_head.id.as_deref().unwrap_or_default())
+                .value("status", parts.status.as_u16())
+                .value("kept_connection", connection.is_reused());
+            let refusal = Refusal::unknown(
+                Code::TargetFailed,
+                "the answer does not carry the id of this request",
+            );
+            return Err(AttemptError::Unknown(refusal));
+        }
         if let Some((running, waiting, _)) = response_head.load {
             self.pool()
                 .record_load_report(now, &choice.id, running, waiting);
@@ -225,17 +247,6 @@
                 parts.status
             )));
         }
-        if response_head.id.as_ref().is_some_and(|id| *id != job.id)
-            || (response_head.id.is_none() && parts.status.is_success())
-        {
-            self.pool().record_error(&choice.id);
-            request_guard.report(TargetEvent::Failed);
-            let refusal = Refusal::unknown(
-                Code::TargetFailed,
-                "the answer does not carry the id of this request",
-            );
-            return Err(AttemptError::Unknown(refusal));
-        }
         if implies_not_run(parts.status) {
             // Callers would take this status to mean that the request did not run, which the target
             // did not say.
--- a/src/gateway/warmth.rs
+++ b/src/gateway/warmth.rs
@@ -131,9 +131,9 @@
                 resume_after: None,
             },
         );
-        let connection = self
-            .upstream()
-            .connection(choice.known.entry.address, false);
+        // On a kept connection, a late copy of an earlier answer might be read.
+        let address = choice.known.entry.address;
+        let connection = self.upstream().connection(address, true);
         let mut connection = connection.await.map_err(|e| e.to_string())?;
         let response = connection.send(req).await.map_err(|e| e.to_string())?;
         if response.status() != StatusCode::OK {
--- a/src/target.rs
+++ b/src/target.rs
@@ -2,6 +2,7 @@
 //!
 //! A plug-in implements [`Target`] and registers a [`TargetPlugin`] with `inventory`.
 
+pub mod answer_match;
 mod answer_progress;
 mod connections;
 mod framing;
--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::answer_match::{MissingId, belongs};
 use super::{AnswerProgress, Framing, TargetAddress, TargetError};
 use crate::call::{Answer, AnswerHead, Call, Chunk};
 use crate::front::headers::CDN_LOOP_ID;
@@ -72,26 +73,14 @@
     TargetError::Incomplete(e.to_string())
 }
 
-/// How a response without a request ID is treated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum MissingId {
-    /// The response is accepted; only the HTTP connection matches the response to the request.
-    Accept,
-    /// The response is rejected as belonging to another request.
-    Reject,
-}
-
 /// Checks that the response echoes the attempt's ID.
 pub(crate) fn check_request_id(
     res: &Response,
     attempt: RequestId,
     missing_id: MissingId,
 ) -> Result<(), TargetError> {
-    let matches = match res.headers().get(REQUEST_ID) {
-        Some(id) => id.as_bytes() == attempt.to_string().as_bytes(),
-        None => missing_id == MissingId::Accept,
-    };
-    if matches {
+    let stated = res.headers().get(REQUEST_ID).map(HeaderValue::as_bytes);
+    if belongs(attempt.to_string().as_bytes(), stated, missing_id) {
         return Ok(());
     }
     Err(TargetError::WrongRequest)
--- a/src/target/openai.rs
+++ b/src/target/openai.rs
@@ -10,8 +10,8 @@
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 
+use super::answer_match::MissingId;
 use super::connections::Connections;
-use super::http::MissingId;
 use super::{
     CacheChange, CacheEvent, CacheEvents, EventSplitter, Incomplete, Load, Target, TargetAddress,
     TargetError, TargetPlugin, http, is_done_event,
--- a/src/target/plain.rs
+++ b/src/target/plain.rs
@@ -6,8 +6,8 @@
 use async_trait::async_trait;
 use reqwest::{Method, StatusCode};
 
+use super::answer_match::MissingId;
 use super::connections::Connections;
-use super::http::MissingId;
 use super::{Load, Target, TargetAddress, TargetError, TargetPlugin, http};
 use crate::call::{Answer, Call, Operation};
 use crate::id::RequestId;
