--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -216,12 +216,6 @@
             self.pool().record_error(&choice.id);
             request_guard.report(TargetEvent::Failed);
             metrics::counter!("limpetstand_foreign_answers_total").increment(1);
-            journal::line("foreign_answer")
-                .text("request", &job.id)
-                .text("target", choice.id.as_str())
-                .text("stated", response_head.id.as_deref().unwrap_or_default())
-                .value("status", parts.status.as_u16())
-                .value("kept_connection", connection.is_reused());
             let refusal = Refusal::unknown(
                 Code::TargetFailed,
                 "the answer does not carry the id of this request",
