Ask for warmth only where changes cannot reach the instance

Such an instance now counts as out of touch when none of those it polls has answered its latest poll with recent news.

Also, the registry counts as followed with a gap if another instance's changes are merged after a time without news, and an instance whose history was lost counts as up to date only after the next load.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -89,6 +89,8 @@
     /// When a call to the store last failed, here or at the instances that this one polls.
     store_failed_at: Option<Duration>,
     has_recent_news: bool,
+    /// The instances whose answer to the latest poll was missing, or told of old news.
+    lost_sources: BTreeSet<InstanceId>,
     /// Whether the latest read of the registry on demand failed.
     registry_read_failed: bool,
     /// Since when no change of the registry can have come and gone unseen.
@@ -179,6 +181,7 @@
                 withdrawals: WithdrawalNews::new(rand::random()),
                 store_failed_at: None,
                 has_recent_news: false,
+                lost_sources: BTreeSet::new(),
                 registry_read_failed: false,
                 registry_followed_since: None,
                 heard_versions: BTreeSet::new(),
--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -59,9 +59,14 @@
                 Ok(history_lost) => {
                     must_load = history_lost;
                     failures = 0;
-                    let update = match loads || history_lost {
-                        true => Update::Replaced,
-                        false => Update::Followed,
+                    if history_lost {
+                        sleep_until(began + MIN_WATCH_PERIOD).await;
+                        continue;
+                    }
+                    let update = if loads {
+                        Update::Replaced
+                    } else {
+                        Update::Followed
                     };
                     self.record_success(index, update);
                     sleep_until(began + MIN_WATCH_PERIOD).await;
--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::withdrawals::{WirePosition, WireWithdrawals};
-use super::{Follower, MAX_NEWS_AGE, State, Update, millis, whole_millis};
+use super::{Follower, MAX_NEWS_AGE, REGISTRY_MIRROR, State, Update, millis, whole_millis};
 use crate::gateway::listeners::LISTENERS;
 use crate::gateway::mirror::{Changes, Gap};
 use crate::id::InstanceId;
@@ -183,7 +183,9 @@
     }
 
     fn record_listener_success(&self, id: &InstanceId) {
-        if self.state().listeners.record_success(id) {
+        let mut state = self.state();
+        state.lost_sources.remove(id);
+        if state.listeners.record_success(id) {
             journal::line("listener_back").text("peer", id.as_str());
         }
     }
@@ -191,6 +193,7 @@
     fn record_listener_failure(&self, id: &InstanceId, why: &str) -> Duration {
         let now = self.now();
         let mut state = self.state();
+        state.lost_sources.insert(id.clone());
         let pause = state.listeners.record_failure(now, id);
         journal::line("listener_lost")
             .text("peer", id.as_str())
@@ -243,12 +246,16 @@
         state.has_recent_news && !state.followed.iter().any(|f| f.failing)
     }
 
-    /// Whether the instance's own calls to the store succeed and its news is as recent as that of an
-    /// instance that watches the store.
+    /// Whether the instance's news is recent and changes reach it at once, from the store or from an
+    /// instance that it polls.
     pub(in crate::gateway) fn has_current_news(&self) -> bool {
+        if !self.has_recent_news() {
+            return false;
+        }
+        let plan = self.plan_tx.borrow();
         let state = self.state();
-        let age = state.news_age(self.now());
-        age.is_some_and(|age| age <= MAX_NEWS_AGE) && !state.followed.iter().any(|f| f.failing)
+        let mut sources = plan.sources.iter();
+        plan.listens || sources.any(|source| !state.lost_sources.contains(source))
     }
 
     pub(super) fn encode_request(
@@ -361,6 +368,12 @@
 
     /// Applies another instance's changes of a mirror.
     pub(super) fn merge(&self, state: &mut State, index: usize, changes: Changes) {
+        let (now, max_age) = (self.now(), self.max_news_age());
+        let is_old = |at: Duration| at + max_age < now;
+        if index == REGISTRY_MIRROR && state.followed[index].news_at.is_some_and(is_old) {
+            // The changes leave out what was written and deleted meanwhile.
+            state.registry_followed_since = Some(now);
+        }
         let mirror = &mut state.followed[index].mirror;
         let (was_loaded, era) = (mirror.is_loaded(), mirror.revision().era);
         let changed = mirror.merge(changes);
