--- a/src/gateway/origin_news.rs
+++ b/src/gateway/origin_news.rs
@@ -47,10 +47,14 @@
 /// Timeout of a question for the history.
 const HISTORY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time between two looks at the news of the registry, and between two questions for the history while
-/// it is incomplete.
+/// Time between two looks at the news of the registry, and between the first two questions for the
+/// history while it is incomplete.
 const HISTORY_PERIOD: Duration = Duration::from_millis(500);
 
+/// Longest time between two questions for the history. Each may cost a call to the store, and after a
+/// loss of all instances at once nobody can answer it.
+const MAX_HISTORY_PAUSE: Duration = Duration::from_secs(8);
+
 /// Time between two looks of a starting instance for others.
 const STARTUP_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -383,6 +387,7 @@
 /// it got no news, whenever that is not known for as long as streams last.
 async fn complete_history(gateway: Arc<Gateway>) {
     let mut was_complete = false;
+    let mut pause = HISTORY_PERIOD;
     loop {
         gateway.update_software_versions();
         let is_complete = lock(&gateway.origins).covers_memory(gateway.clock.now());
@@ -396,6 +401,7 @@
                 .text("seen", &seen.join(","));
         }
         if is_complete {
+            pause = HISTORY_PERIOD;
             sleep(HISTORY_PERIOD).await;
             continue;
         }
@@ -413,7 +419,8 @@
         if let Err(e) = asked {
             journal::line("history_unknown").text("error", &e.to_string());
         }
-        sleep(HISTORY_PERIOD).await;
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_HISTORY_PAUSE);
     }
 }
 
