--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -364,7 +364,7 @@
             }),
             (origin, why) => {
                 let refusal = Refusal::not_run(Code::NoTarget, why.unwrap_or_default());
-                // Without that, a later try would be refused too.
+                // Only if the store could not be read may a later try succeed.
                 let may_clear = origin.is_none() && self.0.follower.lacks_registry();
                 Err(if may_clear {
                     refusal.retry_after(TAKE_UP_RETRY_AFTER)
