Lock the follower's state before its plan everywhere

has_current_news read the plan and then locked the state; check_news does it the other way round. With a change of the plan waiting between them, both could wait for each other for ever, and with them all that follows the store. Found by reading, not seen in a run; no test brings the order of three threads about.

--- a/src/gateway/follow/poll.rs
+++ b/src/gateway/follow/poll.rs
@@ -252,8 +252,9 @@
         if !self.has_recent_news() {
             return false;
         }
-        let plan = self.plan_tx.borrow();
+        // The state is locked before the plan everywhere.
         let state = self.state();
+        let plan = self.plan_tx.borrow();
         let mut sources = plan.sources.iter();
         plan.listens || sources.any(|source| !state.lost_sources.contains(source))
     }
