Write once what the mended parts had twice

- The question to a target stood in load_query and in warmth: target_query.
- Each change of the registry was decoded twice, and an odd one journalled twice: only versions that a later change of the same answer has replaced are read beside the usual way now.
- The position of a mirror was read at three places: known_revision.
- Whether the last read of the registry failed is part of that read.
- A request for a place is encoded once, unless an older build is asked.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -61,6 +61,7 @@
 pub mod stream_origin;
 mod target_attempt;
 pub mod target_limits;
+mod target_query;
 mod target_stream;
 pub mod tolerance;
 mod upstream;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -186,13 +186,9 @@
     /// Reads the head of a target's response.
     fn read_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
-    /// Whether the answer to a question for a target's health is of that target.
-    fn is_of_target(&self, _headers: &HeaderMap, _target: &TargetId) -> bool {
-        true
-    }
-
-    /// Reads from the answer to a question for a target's health whether the target is cold.
-    fn read_warmth(&self, _headers: &HeaderMap) -> Warmth {
+    /// Reads from the answer to a question for a target's health whether the target is cold;
+    /// [`Warmth::Unknown`] if another target has answered.
+    fn read_warmth(&self, _headers: &HeaderMap, _target: &TargetId) -> Warmth {
         Warmth::Unknown
     }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -91,8 +91,8 @@
     has_recent_news: bool,
     /// The instances whose answer to the latest poll was missing, or told of old news.
     lost_sources: BTreeSet<InstanceId>,
-    /// Whether the latest read of the registry on demand failed.
-    registry_read_failed: bool,
+    /// The latest read of the registry's changes on demand.
+    registry_read: Option<confirm::RegistryRead>,
     /// Since when no change of the registry can have come and gone unseen.
     registry_followed_since: Option<Duration>,
     /// The services and software versions of the registry's entries that were read since they were
@@ -139,8 +139,8 @@
     plan_tx: watch::Sender<Plan>,
     /// Held while large values are read, so that each is read once.
     large_values_lock: tokio::sync::Mutex<()>,
-    /// The latest read of the registry's changes on demand; held while they are read.
-    registry_read: tokio::sync::Mutex<Option<confirm::RegistryRead>>,
+    /// Held while the registry's changes are read on demand, so that calls share a read.
+    registry_read_lock: tokio::sync::Mutex<()>,
 }
 
 impl Follower {
@@ -182,7 +182,7 @@
                 store_failed_at: None,
                 has_recent_news: false,
                 lost_sources: BTreeSet::new(),
-                registry_read_failed: false,
+                registry_read: None,
                 registry_followed_since: None,
                 heard_versions: BTreeSet::new(),
             }),
@@ -191,7 +191,7 @@
             withdrawals_tx,
             plan_tx,
             large_values_lock: tokio::sync::Mutex::default(),
-            registry_read: tokio::sync::Mutex::default(),
+            registry_read_lock: tokio::sync::Mutex::default(),
         })
     }
 
--- a/src/gateway/follow/confirm.rs
+++ b/src/gateway/follow/confirm.rs
@@ -34,7 +34,8 @@
     /// the store had when this was called. Calls at the same time share a read.
     pub(in crate::gateway) async fn read_registry(&self) -> bool {
         let called_at = self.now();
-        let mut latest = self.registry_read.lock().await;
+        let _guard = self.registry_read_lock.lock().await;
+        let latest = self.state().registry_read;
         if let Some(read) = latest.filter(|read| read.began_at >= called_at) {
             return read.succeeded;
         }
@@ -50,34 +51,27 @@
             }
         }
         let succeeded = read.is_ok();
-        self.state().registry_read_failed = !succeeded;
-        let outcome = if succeeded { "succeeded" } else { "failed" };
-        metrics::counter!("limpetstand_registry_reads_total", "outcome" => outcome).increment(1);
-        *latest = Some(RegistryRead {
+        self.state().registry_read = Some(RegistryRead {
             began_at,
             succeeded,
         });
+        let outcome = if succeeded { "succeeded" } else { "failed" };
+        metrics::counter!("limpetstand_registry_reads_total", "outcome" => outcome).increment(1);
         succeeded
     }
 
     async fn read_registry_changes(&self) -> Result<Update, StoreError> {
-        let (prefix, revision, is_loaded) = {
-            let state = self.state();
-            let mirror = &state.followed[REGISTRY_MIRROR].mirror;
-            (
-                mirror.prefix().to_owned(),
-                mirror.revision(),
-                mirror.is_loaded(),
-            )
+        let history_lost = match self.known_revision(REGISTRY_MIRROR) {
+            None => true,
+            Some(after) => {
+                self.update_mirror(REGISTRY_MIRROR, after, Duration::ZERO)
+                    .await?
+            }
         };
-        let must_load = !is_loaded
-            || self
-                .update_mirror(REGISTRY_MIRROR, &prefix, revision, Duration::ZERO)
-                .await?;
-        if !must_load {
+        if !history_lost {
             return Ok(Update::Followed);
         }
-        self.load_mirror(REGISTRY_MIRROR, &prefix).await?;
+        self.load_mirror(REGISTRY_MIRROR).await?;
         Ok(Update::Replaced)
     }
 
@@ -88,14 +82,13 @@
 
     /// Whether the instance could not bring the registry up to date when it last tried.
     pub(in crate::gateway) fn lacks_registry(&self) -> bool {
-        self.state().registry_read_failed || !self.has_recent_news()
+        let latest = self.state().registry_read;
+        latest.is_some_and(|read| !read.succeeded) || !self.has_recent_news()
     }
 
     /// The revision of the registry; `None` before it has been loaded.
     pub(in crate::gateway) fn registry_revision(&self) -> Option<StoreRevision> {
-        let state = self.state();
-        let mirror = &state.followed[REGISTRY_MIRROR].mirror;
-        mirror.is_loaded().then_some(mirror.revision())
+        self.known_revision(REGISTRY_MIRROR)
     }
 
     /// Returns what another instance's registry lacks.
--- a/src/gateway/follow/listen.rs
+++ b/src/gateway/follow/listen.rs
@@ -1,5 +1,6 @@
 //! Watches the store for one prefix while this instance is a listener.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,21 +40,11 @@
                 }
             }
             let began = Instant::now();
-            let (prefix, revision, loaded) = {
-                let state = self.state();
-                let mirror = &state.followed[index].mirror;
-                (
-                    mirror.prefix().to_owned(),
-                    mirror.revision(),
-                    mirror.is_loaded(),
-                )
-            };
-            let loads = must_load || !loaded;
-            let result = if loads {
-                self.load_mirror(index, &prefix).await.map(|()| false)
-            } else {
-                self.update_mirror(index, &prefix, revision, WATCH_WAIT)
-                    .await
+            let loaded = self.known_revision(index);
+            let followed_from = loaded.filter(|_| !must_load);
+            let result = match followed_from {
+                None => self.load_mirror(index).await.map(|()| false),
+                Some(after) => self.update_mirror(index, after, WATCH_WAIT).await,
             };
             match result {
                 Ok(history_lost) => {
@@ -63,10 +54,9 @@
                         sleep_until(began + MIN_WATCH_PERIOD).await;
                         continue;
                     }
-                    let update = if loads {
-                        Update::Replaced
-                    } else {
-                        Update::Followed
+                    let update = match followed_from {
+                        None => Update::Replaced,
+                        Some(_) => Update::Followed,
                     };
                     self.record_success(index, update);
                     sleep_until(began + MIN_WATCH_PERIOD).await;
@@ -74,7 +64,7 @@
                 Err(e) => {
                     self.record_failure(index, &e);
                     let pause = (RETRY_PAUSE * 2_u32.pow(failures)).min(MAX_RETRY_PAUSE);
-                    if loaded {
+                    if loaded.is_some() {
                         failures = (failures + 1).min(4);
                     }
                     sleep(pause.mul_f64(rand::random_range(0.5..1.5))).await;
@@ -83,8 +73,20 @@
         }
     }
 
-    pub(super) async fn load_mirror(&self, index: usize, prefix: &str) -> Result<(), StoreError> {
-        let (mut entries, revision) = self.deps.store.list_at(prefix).await?;
+    /// The revision up to which a mirror is complete; `None` before it has been loaded.
+    pub(super) fn known_revision(&self, index: usize) -> Option<StoreRevision> {
+        let state = self.state();
+        let mirror = &state.followed[index].mirror;
+        mirror.is_loaded().then_some(mirror.revision())
+    }
+
+    fn prefix(&self, index: usize) -> String {
+        self.state().followed[index].mirror.prefix().to_owned()
+    }
+
+    pub(super) async fn load_mirror(&self, index: usize) -> Result<(), StoreError> {
+        let prefix = self.prefix(index);
+        let (mut entries, revision) = self.deps.store.list_at(&prefix).await?;
         let mut state = self.state();
         if index == REGISTRY_MIRROR {
             for entry in &mut entries {
@@ -101,11 +103,11 @@
     pub(super) async fn update_mirror(
         &self,
         index: usize,
-        prefix: &str,
         after: StoreRevision,
         wait: Duration,
     ) -> Result<bool, StoreError> {
-        let changes = self.deps.store.poll_changes(prefix, after, wait);
+        let prefix = self.prefix(index);
+        let changes = self.deps.store.poll_changes(&prefix, after, wait);
         let (mut events, at) = timeout(wait + WATCH_MARGIN, changes)
             .await
             .map_err(|_| StoreError::ResponseLost("the watch call timed out".to_owned()))??;
@@ -116,11 +118,11 @@
                     self.drop_odd_value(&state, entry);
                 }
             }
-            self.record_versions(&mut state, &events);
+            self.record_replaced_versions(&mut state, &events);
         }
         let Ok(changed) = state.followed[index].mirror.apply(events, at) else {
             journal::line("history_lost")
-                .text("prefix", prefix)
+                .text("prefix", &prefix)
                 .value("after", after.number)
                 .value("era", after.era);
             return Ok(true);
@@ -144,12 +146,22 @@
         entry.value = Bytes::new();
     }
 
-    /// Records the software versions that targets had one after the other.
-    fn record_versions(&self, state: &mut State, events: &[WatchEvent]) {
-        for event in events {
-            let WatchEvent::Put(entry) = event else {
-                continue;
+    /// Records the software versions of entries that a later change has replaced. The others are
+    /// recorded when the changes are applied.
+    fn record_replaced_versions(&self, state: &mut State, events: &[WatchEvent]) {
+        let mut changed_later = HashSet::new();
+        for event in events.iter().rev() {
+            let entry = match event {
+                WatchEvent::Put(entry) => entry,
+                WatchEvent::Delete(key, _) => {
+                    changed_later.insert(key);
+                    continue;
+                }
+                WatchEvent::Gap => continue,
             };
+            if changed_later.insert(&entry.key) {
+                continue;
+            }
             let decoded = self.decode_target(&entry.key, &entry.value, &state.view);
             if let Some((_, target)) = decoded {
                 state.record_version(&target);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -430,16 +430,16 @@
         to: SocketAddr,
     ) -> Result<PlaceAnswer, PeerError> {
         let timeout = PLACE_TIMEOUT.min(job.time_left());
-        let request = encode(&self.place_request(job, tried))?;
         let now = self.clock.now();
+        let cold = self.known_cold(&job.service);
         if lock(&self.unknown_kinds).may_know(now, to, RANKED_PLACE_KIND) {
             let urgency = Urgency::from(job);
             let body = encode_named(&WireRankedRequest {
-                request: request.clone(),
+                request: encode(&self.place_request(job, tried))?,
                 priority: urgency.priority,
                 yields: urgency.yields,
                 brittle: self.known_brittle(&job.service),
-                cold: self.known_cold(&job.service),
+                cold: cold.clone(),
             })?;
             match self.peers.ask(to, RANKED_PLACE_KIND, body, timeout).await {
                 Err(PeerError::UnknownKind(kind)) => {
@@ -454,9 +454,9 @@
                 }
             }
         }
-        // This build's scheduler does not take word of cold targets.
-        let cold = self.known_cold(&job.service).into_iter().map(|c| c.target);
-        let tried: Vec<TargetId> = tried.iter().cloned().chain(cold).collect();
+        // A scheduler of an older build cannot be told which targets are cold, so they are left out.
+        let mut tried = tried.to_vec();
+        tried.extend(cold.into_iter().map(|c| c.target));
         let request = encode(&self.place_request(job, &tried))?;
         let answer = self.peers.ask(to, PLACE_KIND, request, timeout).await?;
         Ok(PlaceAnswer::from(decode::<WirePlace>(&answer)?))
--- a/src/gateway/warmth.rs
+++ b/src/gateway/warmth.rs
@@ -9,30 +9,22 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
 
 use super::Gateway;
-use super::dialect::TargetHeaders;
 use super::pool::Choice;
 use super::target_attempt::keep_alive_after;
+use super::target_query::MAX_ANSWER_BYTES;
 use crate::id::TargetId;
 use crate::journal;
 use crate::member::Health;
 
-/// Timeout of the question; a target whose slots are all in use answers no sooner than it would begin
-/// on a request.
-const TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time for which an answer other than that the target is warm counts.
 pub const COLD_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum size of the body of an answer, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
-
 /// Whether a target is cold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Warmth {
@@ -96,8 +88,8 @@
         let warmth = match health_path {
             None => Warmth::Unknown,
             Some(path) => {
-                let asked = timeout(TIMEOUT, self.ask_for_warmth(choice, &path)).await;
-                asked.unwrap_or(Ok(Warmth::Unknown)).unwrap_or_else(|why| {
+                let asked = self.ask_for_warmth(choice, &path).await;
+                asked.unwrap_or_else(|why| {
                     log::debug!("asking target {} for its health failed: {why}", choice.id);
                     Warmth::Unknown
                 })
@@ -119,41 +111,24 @@
     }
 
     async fn ask_for_warmth(&self, choice: &Choice, path: &str) -> Result<Warmth, String> {
-        let mut req = Request::new(Full::new(Bytes::new()));
-        *req.uri_mut() = path.parse().map_err(|_| "the path is malformed")?;
-        self.dialect.add_target_headers(
-            req.headers_mut(),
-            &TargetHeaders {
-                target: &choice.id,
-                organisation: None,
-                time_left: TIMEOUT,
-                priority: 0,
-                resume_after: None,
-            },
-        );
-        // On a kept connection, a late copy of an earlier answer might be read.
-        let address = choice.known.entry.address;
-        let connection = self.upstream().connection(address, true);
-        let mut connection = connection.await.map_err(|e| e.to_string())?;
-        let response = connection.send(req).await.map_err(|e| e.to_string())?;
-        if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status()));
-        }
-        let head = self
-            .dialect
-            .read_response(response.status(), response.headers());
-        let keep_alive = keep_alive_after(response.headers(), &head);
-        let warmth = if self.dialect.is_of_target(response.headers(), &choice.id) {
-            self.dialect.read_warmth(response.headers())
-        } else {
-            Warmth::Unknown
+        let read = async |connection, response: Response<Incoming>| {
+            if response.status() != StatusCode::OK {
+                return Err(format!("status {}", response.status()));
+            }
+            let head = self
+                .dialect
+                .read_response(response.status(), response.headers());
+            let keep_alive = keep_alive_after(response.headers(), &head);
+            let warmth = self.dialect.read_warmth(response.headers(), &choice.id);
+            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+            if let Some(time) = keep_alive
+                && body.collect().await.is_ok()
+            {
+                self.upstream().keep_idle(connection, time);
+            }
+            Ok(warmth)
         };
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
-        if let Some(time) = keep_alive
-            && body.collect().await.is_ok()
-        {
-            self.upstream().keep_idle(connection, time);
-        }
-        Ok(warmth)
+        let address = choice.known.entry.address;
+        self.ask_target(&choice.id, address, path, read).await
     }
 }
