Decide on warmth apart from asking for it

Who shares a cold target's rate, and whether an instance hears others of its region, stood inside code with sockets, and the virtual-time test had its own copy of the first. Both are functions of gateway::warmth now, which the test plays; asking is in warmth/ask.rs, with what schedulers are told, out of placement.rs. Behaviour is as before.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -20,7 +20,7 @@
 use super::registry::KnownTarget;
 use super::scheduler::{self, Scheduler, scheduler_of, schedulers};
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY, ProcessKey, WireLimit};
-use super::warmth::{COLD_TIME, WireCold};
+use super::warmth::ColdShares;
 use super::withdrawal::QuietEnd;
 use super::{Gateway, lock};
 use crate::id::{InstanceId, RegionId, TargetId};
@@ -504,42 +504,6 @@
         brittle
     }
 
-    /// Returns the targets of a service that have said themselves that they are cold.
-    fn known_cold(&self, service: &SmolStr) -> Vec<WireCold> {
-        let now = self.clock.now();
-        let view = self.view();
-        let mut cold = Vec::new();
-        for (target, started_unix_ms, left) in self.pool().found_cold(now) {
-            if view
-                .targets
-                .get(&target)
-                .is_some_and(|k| k.entry.service == *service)
-            {
-                cold.push(WireCold {
-                    target,
-                    started_unix_ms,
-                    left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-                });
-            }
-        }
-        cold
-    }
-
-    /// Takes over which targets another instance has found to be cold.
-    fn hear_cold(&self, cold: &[WireCold]) {
-        let now = self.clock.now();
-        let view = self.view();
-        let mut pool = self.pool();
-        for said in cold {
-            let known = view.targets.get(&said.target);
-            let is_same = |k: &&KnownTarget| k.entry.started_unix_ms == said.started_unix_ms;
-            if let Some(known) = known.filter(is_same) {
-                let left = Duration::from_millis(said.left_ms.into()).min(COLD_TIME);
-                pool.record_cold(&said.target, known, now + left);
-            }
-        }
-    }
-
     /// Chooses a target without its scheduler. Cold targets and those with limits are left out, as
     /// only their schedulers know how many requests they have been sent.
     fn choose_alone(&self, job: &Job, tried: &[TargetId]) -> Placement {
@@ -567,14 +531,12 @@
         let view = self.view();
         let settings = self.reloadable_settings();
         let fleet = self.fleet();
-        let own = [self.id.as_str()];
-        let (senders, instances) = if self.has_current_news() {
-            (own.to_vec(), own.to_vec())
+        let shares = if self.has_current_news() {
+            ColdShares::of_all(self.id.as_str())
         } else {
-            // Others may schedule the same targets: one that is in touch, and any that is cut off.
-            let senders = fleet.live_members(&self.region).map(|m| m.id.as_str());
-            let senders = senders.filter(|id| *id != own[0]).chain(own);
-            (senders.collect(), self.known_instances(&view, &fleet))
+            let live = fleet.live_members(&self.region).map(|m| m.id.as_str());
+            let known = self.known_instances(&view, &fleet);
+            ColdShares::of_those_that_ask(self.id.as_str(), live, known)
         };
         let mut scheduling = self.scheduling();
         let query = TargetQuery {
@@ -585,8 +547,8 @@
                 tried: &request.tried,
                 avoided: &request.avoided,
             },
-            senders: &senders,
-            instances: &instances,
+            senders: &shares.senders,
+            instances: &shares.instances,
             warmup: (
                 settings.warmup_overshoot * SCHEDULER_WARMUP_FRACTION,
                 settings.warmup_slack * SCHEDULER_WARMUP_FRACTION,
--- a/src/gateway/warmth.rs
+++ b/src/gateway/warmth.rs
@@ -1,4 +1,4 @@
-//! Asks a target whether it is cold, before a request is sent to it on old news.
+//! Decides what an instance may send to a target that may have become cold without its knowing.
 //!
 //! A target becomes cold when it starts, when its data centre has been evacuated, or by itself. The
 //! registry and the scheduler tell an instance so, but not one that is cut off. Such an instance may
@@ -9,20 +9,14 @@
 
 use std::time::Duration;
 
-use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
+use crate::id::{InstanceId, RegionId};
+use crate::member::{Fleet, Health};
 
-use super::Gateway;
-use super::pool::Choice;
-use super::target_attempt::keep_alive_after;
-use super::target_query::MAX_ANSWER_BYTES;
-use crate::id::TargetId;
-use crate::journal;
-use crate::member::Health;
+pub(super) use self::ask::WireCold;
 
-/// Time for which an answer other than that the target is warm counts.
+mod ask;
+
+/// Time for which a target counts as cold that has not said that it is warm.
 pub const COLD_TIME: Duration = Duration::from_secs(1);
 
 /// Whether a target is cold.
@@ -46,89 +40,46 @@
     }
 }
 
-/// A target that an instance knows as cold, as encoded between instances.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(super) struct WireCold {
-    pub(super) target: TargetId,
-    /// When the target's process started, in milliseconds of Unix time.
-    pub(super) started_unix_ms: u64,
-    /// How much longer the target counts as cold.
-    pub(super) left_ms: u32,
+/// Whether an instance hears others of its region, or knows of none. Calls to the store fail later than
+/// other instances fall silent.
+pub fn hears_others(fleet: &Fleet, own: &InstanceId, region: &RegionId) -> bool {
+    let members = fleet.members.iter();
+    let mut others = members
+        .filter(|m| m.id != *own && m.region == *region)
+        .peekable();
+    others.peek().is_none() || others.any(|m| m.health == Health::Live)
 }
 
-impl Gateway {
-    /// Whether this instance hears at once when a target becomes cold.
-    pub(super) fn has_current_news(&self) -> bool {
-        let fleet = self.fleet();
-        let members = fleet.members.iter();
-        let mut others = members
-            .filter(|m| m.id != self.id && m.region == self.region)
-            .peekable();
-        let hears_nobody = others.peek().is_some() && others.all(|m| m.health != Health::Live);
-        // Calls to the store fail later than instances fall silent.
-        !hears_nobody && self.follower.has_current_news()
-    }
+/// How a scheduler shares the request rate of its cold targets with others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdShares<'a> {
+    /// The instances whose shares the scheduler uses.
+    pub senders: Vec<&'a str>,
+    /// The instances that have shares.
+    pub instances: Vec<&'a str>,
+}
 
-    /// Tells whether a request may be sent to a chosen target: the news of it is current, or it says
-    /// that it is warm, or it is known to be cold, and the request has been counted as one to a cold
-    /// target when the target was chosen.
-    pub(super) async fn may_send(&self, request: &str, choice: &Choice) -> bool {
-        let view = self.view();
-        let service = &choice.known.entry.service;
-        let now = self.clock.now();
-        if view.warmup_per_s(service) <= 0.0
-            || self.has_current_news()
-            || self.pool().is_cold(now, &choice.id, &choice.known)
-        {
-            return true;
+impl<'a> ColdShares<'a> {
+    /// Returns the shares of a scheduler with current news, which are those of all.
+    pub fn of_all(own: &'a str) -> Self {
+        Self {
+            senders: vec![own],
+            instances: vec![own],
         }
-        let table = view.route_table.as_ref();
-        let service = table.and_then(|t| t.services.get(service));
-        let health_path = service.and_then(|s| s.health_path.clone());
-        let warmth = match health_path {
-            None => Warmth::Unknown,
-            Some(path) => {
-                let asked = self.ask_for_warmth(choice, &path).await;
-                asked.unwrap_or_else(|why| {
-                    log::debug!("asking target {} for its health failed: {why}", choice.id);
-                    Warmth::Unknown
-                })
-            }
-        };
-        journal::line("warmth_asked")
-            .text("request", request)
-            .text("target", choice.id.as_str())
-            .text("warmth", warmth.as_str())
-            .ms("took_ms", self.clock.now().saturating_sub(now));
-        metrics::counter!("limpetstand_warmth_asked_total", "warmth" => warmth.as_str())
-            .increment(1);
-        if warmth == Warmth::Warm {
-            return true;
-        }
-        let until = self.clock.now() + COLD_TIME;
-        self.pool().record_cold(&choice.id, &choice.known, until);
-        false
     }
 
-    async fn ask_for_warmth(&self, choice: &Choice, path: &str) -> Result<Warmth, String> {
-        let read = async |connection, response: Response<Incoming>| {
-            if response.status() != StatusCode::OK {
-                return Err(format!("status {}", response.status()));
-            }
-            let head = self
-                .dialect
-                .read_response(response.status(), response.headers());
-            let keep_alive = keep_alive_after(response.headers(), &head);
-            let warmth = self.dialect.read_warmth(response.headers(), &choice.id);
-            let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-            if let Some(time) = keep_alive
-                && body.collect().await.is_ok()
-            {
-                self.upstream().keep_idle(connection, time);
-            }
-            Ok(warmth)
-        };
-        let address = choice.known.entry.address;
-        self.ask_target(&choice.id, address, path, read).await
+    /// Returns the shares of a scheduler whose news may be old. Others may schedule the same targets:
+    /// one that is in touch, and any that is cut off. The `live` ones ask this scheduler, and of the
+    /// `known` ones each may send.
+    pub fn of_those_that_ask(
+        own: &'a str,
+        live: impl Iterator<Item = &'a str>,
+        known: Vec<&'a str>,
+    ) -> Self {
+        let others = live.filter(|id| *id != own);
+        Self {
+            senders: std::iter::once(own).chain(others).collect(),
+            instances: known,
+        }
     }
 }
--- a/tests/warmth.rs
+++ b/tests/warmth.rs
@@ -5,6 +5,7 @@
 mod region_view;
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +13,9 @@
 use limpetstand::gateway::pool::{Demand, Pool, Prefill, TargetQuery};
 use limpetstand::gateway::routes::{RouteTable, Service};
 use limpetstand::gateway::target_limits::LimitedTargets;
-use limpetstand::gateway::warmth::COLD_TIME;
+use limpetstand::gateway::warmth::{COLD_TIME, ColdShares, hears_others};
 use limpetstand::id::{RegionId, TargetId};
+use limpetstand::member::{Fleet, Health, Member};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use region_view::SERVICE;
@@ -90,7 +92,11 @@
         let group = group.expect("a group");
         let view = view(is_cold && group.in_touch);
         let members: Vec<&str> = group.members.iter().map(|i| all[*i]).collect();
-        let own = [members[0]];
+        let shares = if group.in_touch {
+            ColdShares::of_all(members[0])
+        } else {
+            ColdShares::of_those_that_ask(members[0], members.iter().copied(), all.clone())
+        };
         let mut tried = Vec::new();
         let mut was_sent = false;
         loop {
@@ -99,8 +105,8 @@
                     tried: &tried,
                     ..Demand::of_service(&SERVICE)
                 },
-                senders: if group.in_touch { &own } else { &members },
-                instances: if group.in_touch { &own } else { &all },
+                senders: &shares.senders,
+                instances: &shares.instances,
                 warmup: SCHEDULED,
                 owned_since: Some(&owned),
                 limited: LimitedTargets::Scheduled,
@@ -185,3 +191,33 @@
         }
     }
 }
+
+/// Guards against an instance that is cut off alone and waits for a call to the store to fail.
+#[test]
+fn an_instance_that_hears_nobody_of_its_region_does_not_trust_its_news() {
+    let member = |id: &str, region: &str, health| Member {
+        id: id.into(),
+        incarnation: 1,
+        front: SocketAddr::from(([127, 0, 0, 1], 1)),
+        peer: SocketAddr::from(([127, 0, 0, 1], 2)),
+        data_centre: region.into(),
+        region: region.into(),
+        health,
+    };
+    let hears = |others: &[(&str, &str, Health)]| {
+        let mut members = vec![member("own", "here", Health::Live)];
+        members.extend(others.iter().map(|(id, region, h)| member(id, region, *h)));
+        let targets = Vec::new();
+        hears_others(&Fleet { members, targets }, &"own".into(), &"here".into())
+    };
+    assert!(hears(&[]), "there is nobody to hear");
+    assert!(hears(&[("a", "there", Health::Dead)]));
+    assert!(!hears(&[
+        ("a", "here", Health::Suspect),
+        ("b", "there", Health::Live)
+    ]));
+    assert!(hears(&[
+        ("a", "here", Health::Dead),
+        ("b", "here", Health::Live)
+    ]));
+}
