--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,9 +6,8 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`brittle`], [`attempt_timeout`]) use neither sockets nor a clock.
+//! [`tolerance`], [`urgency`], [`brittle`], [`departure`], [`attempt_timeout`]) use neither sockets nor a clock.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -25,6 +24,7 @@
 mod callers;
 mod crashes;
 mod cross_region;
+pub mod departure;
 pub mod dialect;
 mod directory;
 pub mod ejection;
@@ -78,6 +78,7 @@
 pub use self::run::run;
 
 use self::crashes::ProbedProcesses;
+use self::departure::Departure;
 use self::dialect::{Dialect, PromptPart};
 use self::ejection::OwnEjections;
 use self::job::Job;
@@ -97,6 +98,7 @@
 use crate::clock::Clock;
 use crate::id::{InstanceId, OrganisationId, RegionId, RouteId};
 use crate::in_flight::InFlight;
+use crate::journal;
 use crate::member::Fleet;
 use crate::peer::{Peers, RelayAnswer, RelayHandler, UnknownKinds, decode, encode};
 use crate::quarantine::service::QuarantineService;
@@ -136,7 +138,7 @@
     own_ejections: Mutex<OwnEjections>,
     /// Held while targets are tried to find out whether this instance is cut off from all.
     link_check: tokio::sync::Mutex<()>,
-    leaving: AtomicBool,
+    departure: watch::Sender<Departure>,
     in_flight: InFlight,
 }
 
@@ -170,7 +172,7 @@
     }
 
     fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.departure.borrow().is_leaving()
     }
 
     /// Returns whether requests can be served: the instance is not leaving and has loaded the route
@@ -230,6 +232,11 @@
             );
             return (refused_head(job.attempts, refusal), None);
         }
+        if self.0.is_leaving() {
+            journal::line("relayed_to_leaving")
+                .text("request", &job.id)
+                .ms("time_left_ms", job.time_left());
+        }
         if self.0.is_cut_off() {
             let mut head = refused_head(job.attempts, cut_off_refusal());
             head.cut_off = true;
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -358,6 +358,7 @@
         self.end_record.outcome = "broken";
         journal::line("broken")
             .text("request", &self.job.id)
+            .text("peer", self.source.peer().map_or("", |p| p.as_str()))
             .text("error", why)
             .ms("silent_ms", self.last_read.elapsed())
             .ms("time_left_ms", self.job.time_left());
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -138,7 +138,10 @@
                 target,
                 software_version,
                 attempts: job.attempts,
-                source: Source::Peer(Box::new(relayed.body)),
+                source: Source::Peer {
+                    id: peer.id.clone(),
+                    body: Box::new(relayed.body),
+                },
             });
         }
         Err(last_failure)
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -2,7 +2,6 @@
 
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -12,9 +11,10 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::callers::{CallerHandler, ResponseBody, full_body};
+use super::departure::Departure;
 use super::dialect::find_platform;
 use super::directory::PlatformHandler;
 use super::follow::{Follower, FollowerDeps, WithdrawalHandler};
@@ -108,8 +108,9 @@
         tokio::spawn(serve(listener, handler, stopped.clone()));
     }
     stop.await;
+    let gateway = Arc::clone(&running.gateway);
     running.shut_down(stop_tx).await;
-    journal::line("stop");
+    journal::line("stop").value("in_flight", gateway.in_flight.count());
     journal::flush();
     Ok(())
 }
@@ -222,7 +223,7 @@
         reach: std::sync::Mutex::default(),
         own_ejections: std::sync::Mutex::default(),
         link_check: tokio::sync::Mutex::default(),
-        leaving: std::sync::atomic::AtomicBool::new(false),
+        departure: watch::Sender::new(Departure::default()),
         in_flight: InFlight::default(),
     });
     let mut server = PeerServer::for_relays(Some(Arc::new(RelayedRequests(Arc::clone(&gateway)))))
@@ -265,24 +266,29 @@
 impl Running {
     /// Announces that the instance leaves, waits for the requests in flight, and closes.
     async fn shut_down(self, stop_tx: watch::Sender<bool>) {
-        let began = Instant::now();
         let gateway = &self.gateway;
+        let drain_limit = gateway
+            .reloadable_settings()
+            .grace
+            .saturating_sub(DRAIN_MARGIN);
+        let drained_at = gateway.clock.now() + drain_limit;
         journal::line("leaving").value("in_flight", gateway.in_flight.count());
-        gateway.leaving.store(true, Ordering::Release);
+        gateway
+            .departure
+            .send_replace(Departure::Leaving { drained_at });
         self.withdraw_tx.send_replace(true);
         self.membership.leave().await;
         sleep(LEAVE_NOTICE).await;
         // Requests accepted later might not end within the grace period.
         stop_tx.send_replace(true);
-        let drain_limit = gateway
-            .reloadable_settings()
-            .grace
-            .saturating_sub(DRAIN_MARGIN);
-        let waits = || began.elapsed() < drain_limit && gateway.in_flight.count() > 0;
+        let waits = || gateway.clock.now() < drained_at && gateway.in_flight.count() > 0;
         loop {
             while waits() {
                 sleep(DRAIN_POLL_PERIOD).await;
             }
+            if gateway.clock.now() >= drained_at {
+                gateway.departure.send_replace(Departure::GivesUp);
+            }
             sleep(CONNECTION_CLOSE_TIME).await;
             // An open connection may have brought another request meanwhile.
             if !waits() {
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -12,7 +12,7 @@
 use super::pool::TargetEvent;
 use super::running::RunningRequest;
 use super::upstream::{Connection, TargetConnections};
-use crate::id::TargetId;
+use crate::id::{InstanceId, TargetId};
 use crate::in_flight::InFlightGuard;
 use crate::peer::{RelaySource, RelayedBody};
 use crate::target::AnswerProgress;
@@ -21,8 +21,13 @@
 pub(super) enum Source {
     /// The body comes from a target.
     Target(Box<TargetSource>),
-    /// The body is relayed by an instance of another region.
-    Peer(Box<RelayedBody>),
+    /// The body is relayed by another instance.
+    Peer {
+        /// The instance that relays the body.
+        id: InstanceId,
+        /// The body.
+        body: Box<RelayedBody>,
+    },
 }
 
 impl Source {
@@ -34,12 +39,20 @@
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, String>> {
         match self {
             Self::Target(target) => target.next().await,
-            Self::Peer(body) => Some(body.next().await?.map_err(|e| e.to_string())),
+            Self::Peer { body, .. } => Some(body.next().await?.map_err(|e| e.to_string())),
         }
     }
 }
 
 impl Source {
+    /// Returns the instance that relays the body, if one does.
+    pub(super) fn peer(&self) -> Option<&InstanceId> {
+        match self {
+            Self::Target(_) => None,
+            Self::Peer { id, .. } => Some(id),
+        }
+    }
+
     /// Records that the answer's target failed in the middle of the body. If the body is relayed,
     /// the relaying instance has found this out itself, or finds the request cancelled.
     pub(super) fn record_failure(&mut self) {
