--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod clock;
 pub mod config;
 pub mod daemon;
+pub mod departure;
 pub mod entries;
 pub mod fair;
 pub mod front;
