Refuse forwarded requests that a leaving instance may not finish

Callers lost answers, or waited in vain, where another region's instance took their forwarded request after its SIGTERM: `Dispatcher::run` looked at no leave, and what had not ended after `drain_ms` was dropped with the process.

The front end, the dispatcher and the kernel now share one `Departure`. A leaving instance refuses a forwarded request at once, `leaving`, `ran: no`, unless its deadline lies before the drain limit (`Departure::outlasts`). The sender takes this for a request that was not taken: another instance of the region is asked, the refusal counts neither as an attempt nor against the two instances tried in a region, nor against the retry budget, and the caller is not told that its own instance leaves.

In tests/front.rs the leave is sent through the shared channel instead of `Front::leave`.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -109,6 +109,7 @@
 #[async_trait]
 impl ForwardHandler for Dispatcher {
     async fn run(&self, mut call: Call) -> Result<Answer, Refusal> {
+        self.core.check_departure(call.time_left)?;
         call.hops = call.hops.max(1);
         if !self.core.reckless {
             self.core.check_residency(&call)?;
--- a/src/attempt/builder.rs
+++ b/src/attempt/builder.rs
@@ -14,6 +14,7 @@
 use crate::claim::ClaimStore;
 use crate::clock::Clock;
 use crate::config::{ConfigAge, Snapshot};
+use crate::departure::Departure;
 use crate::id::{InstanceId, RegionId};
 use crate::in_flight::InFlight;
 use crate::member::Fleet;
@@ -54,6 +55,7 @@
     fleet: watch::Receiver<Arc<Fleet>>,
     snapshot: watch::Receiver<Arc<Snapshot>>,
     config_age: ConfigAge,
+    departure: watch::Receiver<Departure>,
     peers: Arc<dyn Peers>,
     store: Arc<dyn Store>,
     policy: PolicySettings,
@@ -79,6 +81,7 @@
             fleet: watch::channel(Arc::default()).1,
             snapshot: watch::channel(Arc::default()).1,
             config_age: Arc::new(|| Duration::ZERO),
+            departure: watch::channel(Departure::default()).1,
             peers,
             store,
             policy: PolicySettings::default(),
@@ -115,6 +118,12 @@
         self
     }
 
+    /// Sets the channel from which the dispatcher reads how far the instance is in leaving.
+    pub fn departure(mut self, departure: watch::Receiver<Departure>) -> Self {
+        self.departure = departure;
+        self
+    }
+
     /// Sets the route policy and the attempt policy.
     pub fn policy(mut self, policy: &PolicySettings) -> Self {
         self.policy = policy.clone();
@@ -177,6 +186,7 @@
             fleet: self.fleet,
             snapshot: self.snapshot,
             config_age: self.config_age,
+            departure: self.departure,
             peers: self.peers,
             targets: self.targets,
             quarantine: Mutex::new(Quarantine::new(self.quarantine_time)),
--- a/src/attempt/core.rs
+++ b/src/attempt/core.rs
@@ -12,6 +12,7 @@
 use crate::claim::ClaimStore;
 use crate::clock::Clock;
 use crate::config::{ConfigAge, Route, Snapshot};
+use crate::departure::Departure;
 use crate::id::{InstanceId, RegionId};
 use crate::in_flight::InFlight;
 use crate::key;
@@ -31,6 +32,7 @@
     pub(super) fleet: watch::Receiver<Arc<Fleet>>,
     pub(super) snapshot: watch::Receiver<Arc<Snapshot>>,
     pub(super) config_age: ConfigAge,
+    pub(super) departure: watch::Receiver<Departure>,
     pub(super) peers: Arc<dyn Peers>,
     pub(super) claims: Arc<ClaimStore>,
     pub(super) scheduler: Arc<Scheduler>,
@@ -88,6 +90,18 @@
             .map_or(1.0, |organisation| organisation.weight)
     }
 
+    /// Refuses a forwarded request that may not end before the instance does.
+    pub(super) fn check_departure(&self, time_left: Duration) -> Result<(), Refusal> {
+        if self.departure.borrow().outlasts(self.now(), time_left) {
+            return Ok(());
+        }
+        metrics::counter!("limpetstand_forwards_refused_leaving_total").increment(1);
+        Err(Refusal::not_run(
+            Code::Leaving,
+            "the instance is shutting down and may not finish the request",
+        ))
+    }
+
     /// Checks against this instance's own configuration that residency allows a forwarded call to
     /// run in this region.
     pub(super) fn check_residency(&self, call: &Call) -> Result<(), Refusal> {
--- a/src/attempt/execution.rs
+++ b/src/attempt/execution.rs
@@ -75,6 +75,8 @@
     attempts: u32,
     rounds: u32,
     tried_instances: Vec<InstanceId>,
+    /// Instances that refused the request because they are leaving.
+    leaving_instances: Vec<InstanceId>,
     /// The refusal that the caller gets if no other attempt is possible.
     last_refusal: Option<Refusal>,
 }
@@ -99,6 +101,7 @@
             attempts: 0,
             rounds: 1,
             tried_instances: Vec::new(),
+            leaving_instances: Vec::new(),
             last_refusal: None,
         })
     }
@@ -139,11 +142,13 @@
         self.core
             .check_key(&self.call)
             .map_err(AttemptFailure::without_retry)?;
-        self.attempts += 1;
-        match assignment {
+        let outcome = match assignment {
             Assignment::Local(slot) => self.attempt_local(slot).await,
             Assignment::Remote(key, region) => self.attempt_remote(key, region).await,
-        }
+        };
+        let was_taken = !matches!(&outcome, Err(e) if e.kind() == FailureKind::NotTaken);
+        self.attempts += u32::from(was_taken);
+        outcome
     }
 
     /// Refuses a request that is quarantined or past its deadline, and marks a request that is a
@@ -390,7 +395,7 @@
         };
         match kind {
             FailureKind::NotReached => slot.record_failure(Failure::ConnectFailed),
-            FailureKind::Refused | FailureKind::Final => {}
+            FailureKind::NotTaken | FailureKind::Refused | FailureKind::Final => {}
             FailureKind::Failed => slot.record_failure(Failure::Broken),
             FailureKind::Crossed => {
                 target.close_idle(slot.address());
@@ -452,13 +457,13 @@
         key: RegionKey,
         region: RegionId,
     ) -> Result<StartedAnswer, AttemptFailure> {
-        let instances = self.core.instances_in(&region, &self.tried_instances);
+        let mut instances = self.core.instances_in(&region, &self.tried_instances);
+        instances.retain(|member| !self.leaving_instances.contains(&member.id));
         let Some(instance) = instances.choose(&mut rand::rng()) else {
             self.requirements.tried_regions.push(key);
             let message = format!("no live instance in region {region}");
             return Err(AttemptFailure::new(FailureKind::NotReached, message));
         };
-        self.tried_instances.push(instance.id.clone());
         let mut call = self.call.clone();
         call.hops = call.hops.saturating_add(1);
         call.regions = vec![region.clone()];
@@ -475,6 +480,11 @@
             Ok(outcome) => outcome,
             Err(_) => Err(self.timeout_failure()),
         };
+        if matches!(&outcome, Err(e) if e.kind() == FailureKind::NotTaken) {
+            self.leaving_instances.push(instance.id.clone());
+            return outcome;
+        }
+        self.tried_instances.push(instance.id.clone());
         let tried_in_region = self.count_tried_in(&region);
         if outcome.is_err() && tried_in_region >= MAX_INSTANCES_PER_REGION {
             self.requirements.tried_regions.push(key);
--- a/src/attempt/failure.rs
+++ b/src/attempt/failure.rs
@@ -10,6 +10,8 @@
 pub(super) enum FailureKind {
     /// No byte of the request was sent to a target.
     NotReached,
+    /// The instance of another region is leaving and has not taken the request.
+    NotTaken,
     /// The target refused the request before running it.
     Refused,
     /// The target answered with an HTTP status that reports an error.
@@ -27,18 +29,19 @@
 impl FailureKind {
     /// Returns whether a byte of the request may have reached a target.
     pub(super) fn may_have_run(self) -> bool {
-        !matches!(self, Self::NotReached | Self::Final)
+        !matches!(self, Self::NotReached | Self::NotTaken | Self::Final)
     }
 
     /// Returns whether the next attempt is charged to the retry budget.
     pub(super) fn uses_retry_budget(self) -> bool {
-        self != Self::NotReached
+        !matches!(self, Self::NotReached | Self::NotTaken)
     }
 
     /// Returns the value of the `cause` label in metrics.
     pub(super) fn metric_label(self) -> &'static str {
         match self {
             Self::NotReached => "not_reached",
+            Self::NotTaken => "not_taken",
             Self::Refused => "refused",
             Self::Failed => "failed",
             Self::Crossed => "crossed",
@@ -87,7 +90,9 @@
     /// Creates a failure from the refusal that another region returned.
     pub(super) fn from_forward(refusal: Refusal) -> Self {
         let kind = match (refusal.code(), refusal.ran()) {
-            (Code::NoTarget | Code::Overloaded | Code::Leaving | Code::NotReady, Ran::No) => {
+            // For the caller this instance is the one that leaves if the code says so.
+            (Code::Leaving, Ran::No) => return Self::new(FailureKind::NotTaken, refusal.message()),
+            (Code::NoTarget | Code::Overloaded | Code::NotReady, Ran::No) => {
                 FailureKind::NotReached
             }
             (Code::NoSuchRoute | Code::NoAllowedRegion, Ran::No) => FailureKind::NotReached,
--- a/src/front.rs
+++ b/src/front.rs
@@ -15,6 +15,7 @@
 
 use crate::call::{Call, Dispatch, Operation};
 use crate::config::{ConfigAge, Snapshot};
+use crate::departure::Departure;
 use crate::entries;
 use crate::front::admission::Admission;
 use crate::front::headers::RequestOptions;
@@ -57,6 +58,8 @@
     pub snapshot: watch::Receiver<Arc<Snapshot>>,
     /// The age of the configuration in force.
     pub config_age: ConfigAge,
+    /// How far the instance is in leaving; new requests are refused once it has begun.
+    pub departure: watch::Receiver<Departure>,
     /// The fleet as this instance knows it.
     pub fleet: watch::Receiver<Arc<Fleet>>,
     /// The rate limiter of the organisations.
@@ -70,7 +73,6 @@
 /// The HTTP interface of one instance for callers.
 pub struct Front {
     parts: FrontParts,
-    leaving: watch::Sender<bool>,
     in_flight: InFlight,
 }
 
@@ -90,19 +92,12 @@
 impl Front {
     /// Creates the interface without serving it; see [`Self::router`].
     pub fn new(parts: FrontParts) -> Arc<Self> {
-        let (leaving, _) = watch::channel(false);
         Arc::new(Self {
             parts,
-            leaving,
             in_flight: InFlight::default(),
         })
     }
 
-    /// Refuses new requests from now on.
-    pub fn leave(&self) {
-        self.leaving.send_replace(true);
-    }
-
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.count()
@@ -126,7 +121,7 @@
     /// Counts a new request as in flight, or refuses the request if the instance is leaving or has
     /// reached the limit of requests in flight.
     fn begin_request(self: &Arc<Self>) -> Result<InFlightGuard, Refusal> {
-        if *self.leaving.borrow() {
+        if self.parts.departure.borrow().is_leaving() {
             let refusal = Refusal::not_run(Code::Leaving, "this instance is shutting down");
             return Err(self.suggest_instance(refusal.retry_after(LEAVING_RETRY_AFTER)));
         }
@@ -363,7 +358,7 @@
 async fn health(State(front): State<Arc<Front>>) -> Response {
     let context = front.response_context();
     let ready = front.parts.snapshot.borrow().revision.0 > 0;
-    if *front.leaving.borrow() {
+    if front.parts.departure.borrow().is_leaving() {
         return reply::refuse(
             &Refusal::not_run(Code::Leaving, "this instance is shutting down"),
             &context,
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -18,6 +18,7 @@
 use crate::attempt::Dispatcher;
 use crate::clock::Clock;
 use crate::config::distribution::ConfigDistribution;
+use crate::departure::Departure;
 use crate::front::{Front, FrontParts, serve};
 use crate::in_flight::InFlight;
 use crate::limit;
@@ -112,6 +113,7 @@
     limiter: Arc<dyn limit::Limiter>,
     dispatcher: Arc<Dispatcher>,
     forwards: InFlight,
+    departure: watch::Sender<Departure>,
     reporter: Reporter,
     stop: watch::Sender<bool>,
     servers: Vec<JoinHandle<()>>,
@@ -150,7 +152,8 @@
         let membership = parts::membership(&services)?;
         let distribution = parts::distribution(&services, &membership);
         let limits = parts::limits(&services, &membership, &distribution)?;
-        let dispatcher = parts::dispatcher(&services, &membership, &distribution)?;
+        let departure = watch::Sender::new(Departure::default());
+        let dispatcher = parts::dispatcher(&services, &membership, &distribution, &departure)?;
         let reporter = parts::reporter(&services, &membership, &distribution);
         let (stop, stopped) = watch::channel(false);
         let mut server = PeerServer::new(Arc::clone(&dispatcher) as _)
@@ -167,6 +170,7 @@
             settings: services.settings.front.clone(),
             snapshot: distribution.snapshots(),
             config_age: parts::config_age(&distribution),
+            departure: departure.subscribe(),
             fleet: membership.fleet(),
             limiter: Arc::clone(&limits.limiter),
             dispatch: Arc::clone(&dispatcher) as _,
@@ -196,6 +200,7 @@
             limiter: limits.limiter,
             dispatcher,
             forwards,
+            departure,
             reporter,
             stop,
             servers,
@@ -208,11 +213,13 @@
             "instance {} is shutting down",
             self.services.settings.instance.id
         );
-        self.front.leave();
+        let clock = self.services.clock;
+        let drained_at = clock.now() + Duration::from_millis(self.services.settings.front.drain_ms);
+        self.departure
+            .send_replace(Departure::Leaving { drained_at });
         self.membership.leave().await;
         let started_at = Instant::now();
-        let drain = Duration::from_millis(self.services.settings.front.drain_ms);
-        while started_at.elapsed() < drain {
+        while clock.now() < drained_at {
             let in_flight =
                 self.front.in_flight() + self.forwards.count() + self.dispatcher.in_flight();
             if in_flight == 0 && started_at.elapsed() >= LEAVE_NOTICE {
--- a/src/kernel/parts.rs
+++ b/src/kernel/parts.rs
@@ -10,6 +10,7 @@
 use crate::attempt::{BuildError, Dispatcher};
 use crate::config::ConfigAge;
 use crate::config::distribution::{self, ConfigDistribution};
+use crate::departure::Departure;
 use crate::entries;
 use crate::limit;
 use crate::member::{self, Health, Member, Membership};
@@ -141,6 +142,7 @@
     services: &SharedServices,
     membership: &Membership,
     distribution: &ConfigDistribution,
+    departure: &watch::Sender<Departure>,
 ) -> Result<Arc<Dispatcher>, KernelError> {
     let instance = &services.settings.instance;
     Dispatcher::builder(
@@ -152,6 +154,7 @@
     .clock(services.clock)
     .fleet(membership.fleet())
     .snapshot(distribution.snapshots(), config_age(distribution))
+    .departure(departure.subscribe())
     .policy(&services.settings.policy)
     .source(instance.source)
     .quarantine_time(services.settings.policy.quarantine_time())
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -14,6 +14,7 @@
 use limpetstand::call::{Answer, Call, Dispatch, Operation};
 use limpetstand::clock::Clock;
 use limpetstand::config::{Document, Snapshot};
+use limpetstand::departure::Departure;
 use limpetstand::id::{RegionId, RequestId};
 use limpetstand::member::{Fleet, Health, Member};
 use limpetstand::peer::ForwardHandler;
@@ -54,6 +55,8 @@
     store: Arc<MemoryStore>,
     fleet: watch::Sender<Arc<Fleet>>,
     snapshot: watch::Sender<Arc<Snapshot>>,
+    departure: watch::Sender<Departure>,
+    clock: Clock,
 }
 
 fn address(n: u16) -> SocketAddr {
@@ -76,6 +79,11 @@
     }
 }
 
+/// Returns the port of an instance of the other region; its port for peers is the next one.
+fn there(n: u16) -> u16 {
+    200 + 2 * (n - 1)
+}
+
 fn member(name: &str, region: &str, n: u16) -> Member {
     Member {
         id: name.into(),
@@ -109,8 +117,14 @@
         let target = target(name, "here", slots, 1_000 + i as u16);
         fleet.targets.push(target);
     }
-    if case.args.remove("there").is_some() {
-        fleet.members.push(member("j1", "there", 200));
+    if let Some(values) = case.args.remove("there") {
+        let instances = values
+            .first()
+            .map_or(1, |n| n.parse().expect("integer number of instances"));
+        for n in 1..=instances {
+            let name = format!("j{n}");
+            fleet.members.push(member(&name, "there", there(n)));
+        }
         fleet.targets.push(target("remote", "there", slots, 2_000));
     }
     let policy = PolicySettings {
@@ -124,6 +138,8 @@
     };
     let cluster = Arc::new(FakeCluster::default());
     let store = MemoryStore::new();
+    let clock = Clock::start();
+    let departure = watch::Sender::new(Departure::default());
     let (fleet, fleet_rx) = watch::channel(Arc::new(fleet));
     let (snapshot, snapshot_rx) = watch::channel(Arc::new(snapshot));
     let dispatcher = Dispatcher::builder(
@@ -132,7 +148,8 @@
         Arc::new(FakePeers(Arc::clone(&cluster))),
         Arc::clone(&store) as _,
     )
-    .clock(Clock::start())
+    .clock(clock)
+    .departure(departure.subscribe())
     .fleet(fleet_rx)
     .snapshot(snapshot_rx, Arc::new(|| Duration::ZERO))
     .policy(&policy)
@@ -146,6 +163,8 @@
         store,
         fleet,
         snapshot,
+        departure,
+        clock,
     }
 }
 
@@ -309,6 +328,20 @@
         });
     }
 
+    /// Lets the instance begin to leave after a time, and give up after another one.
+    fn leave(&self, times: &[&str]) {
+        let ms = |text: &str| Duration::from_millis(text.parse().expect("integer ms"));
+        let (begins_after, drain) = (ms(times[0]), ms(times[1]));
+        let drained_at = self.clock.now() + begins_after + drain;
+        let departure = self.departure.clone();
+        tokio::spawn(async move {
+            sleep(begins_after).await;
+            departure.send_replace(Departure::Leaving { drained_at });
+            sleep(drain).await;
+            departure.send_replace(Departure::GivesUp);
+        });
+    }
+
     fn withdraw_key(&self) {
         self.snapshot.send_modify(|snapshot| {
             let mut next = Snapshot::clone(snapshot);
@@ -332,6 +365,18 @@
             "mend-region" => self.cluster.set_region_down(false),
             "leaving" => self.set_leaving(words[0]),
             "withdraw" => self.withdraw_key(),
+            "leave" => {
+                self.leave(&words);
+                // The task of the leave begins.
+                sleep(Duration::from_millis(1)).await;
+            }
+            "stay" => {
+                self.departure.send_replace(Departure::NotLeaving);
+            }
+            "peers-leaving" => {
+                let ports = words.iter().map(|n| there(n.parse().expect("number")) + 1);
+                self.cluster.set_peers_leaving(ports.map(address).collect());
+            }
             "store" => self.set_store(words[0]),
             "wait" => sleep(Duration::from_millis(words[0].parse().expect("integer ms"))).await,
             "send" => return self.send_all(&case.input).await,
--- a/tests/attempt/fakes.rs
+++ b/tests/attempt/fakes.rs
@@ -75,6 +75,7 @@
     cancelled: u32,
     messages: Vec<&'static str>,
     region_down: bool,
+    peers_leaving: Vec<SocketAddr>,
 }
 
 /// The fake targets and the fake region of one scenario.
@@ -101,6 +102,11 @@
         self.lock().region_down = down;
     }
 
+    /// Sets the instances of the other region that refuse requests because they leave.
+    pub(crate) fn set_peers_leaving(&self, peers: Vec<SocketAddr>) {
+        self.lock().peers_leaving = peers;
+    }
+
     /// Returns the requests that each target ran since the last call, one line per target.
     pub(crate) fn take_runs(&self) -> String {
         let mut lines = String::new();
@@ -320,7 +326,7 @@
     }
 }
 
-/// The other region, with one instance that answers as the target `remote`.
+/// The other region, whose instances answer as the target `remote`.
 pub(crate) struct FakePeers(pub(crate) Arc<FakeCluster>);
 
 #[async_trait]
@@ -342,10 +348,13 @@
         Ok(Bytes::new())
     }
 
-    async fn forward(&self, _to: SocketAddr, call: &Call) -> Result<Answer, Refusal> {
+    async fn forward(&self, to: SocketAddr, call: &Call) -> Result<Answer, Refusal> {
         if self.0.lock().region_down {
             return Err(Refusal::not_run(Code::NoTarget, "peer not reached"));
         }
+        if self.0.lock().peers_leaving.contains(&to) {
+            return Err(Refusal::not_run(Code::Leaving, "shutting down"));
+        }
         assert_eq!(
             call.hops, 1,
             "a forwarded request must not be forwarded again"
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 use limpetstand::call::{Answer, AnswerHead, Call, Dispatch};
 use limpetstand::config::{Document, Revision, Snapshot};
+use limpetstand::departure::Departure;
 use limpetstand::front::admission::Admission;
 use limpetstand::front::body::ModelBody;
 use limpetstand::front::headers::RequestOptions;
@@ -373,6 +374,7 @@
 struct RunningFront {
     address: SocketAddr,
     front: Arc<Front>,
+    departure: watch::Sender<Departure>,
     ledger: Arc<Ledger>,
     _senders: (
         watch::Sender<Arc<Snapshot>>,
@@ -390,12 +392,14 @@
         read_timeout_ms: 300,
         ..Default::default()
     };
+    let departure = watch::Sender::new(Departure::default());
     let front = Front::new(FrontParts {
         instance: "s1".into(),
         region: "south".into(),
         settings,
         snapshot,
         config_age: Arc::new(|| Duration::ZERO),
+        departure: departure.subscribe(),
         fleet,
         limiter: Arc::new(UnlimitedLimiter(Arc::clone(&ledger))),
         dispatch: Arc::new(ScriptedDispatch),
@@ -413,6 +417,7 @@
     RunningFront {
         address,
         front,
+        departure,
         ledger,
         _senders: (snapshot_tx, fleet_tx, stop),
     }
@@ -515,7 +520,9 @@
 #[tokio::test]
 async fn a_leaving_instance_names_another_one() {
     let running = start().await;
-    running.front.leave();
+    running.departure.send_replace(Departure::Leaving {
+        drained_at: Duration::MAX,
+    });
     let answer = raw(running.address, &post("", &prompt("x", false))).await;
     assert_eq!(status(&answer), 503);
     assert!(answer.contains("\"code\":\"leaving\"") && answer.contains("limpetstand-use-instance"));
