Answer requests that lie unread when an instance stops

Callers whose requests reached an instance while it stood still around the closing of its listeners, 2.5 s after SIGTERM, saw their connection end without an answer.

The listener was dropped together with the connections that the system had accepted for it. And hyper's `graceful_shutdown` closes a connection that looks idle although a request, or a part of one, lies unread in the system; the runtime's readiness is older than the standstill.

Now the listener is emptied by asking the system until nothing waits, and then closed. `graceful_shutdown` is not used: once the stop is set, a read of a connection without a request returns its end only if a direct look at the socket finds nothing, and answers say `Connection: close`. A request counts as open until its answer has been written whole. Both interfaces share this.

--- a/src/accept.rs
+++ b/src/accept.rs
@@ -1,16 +1,24 @@
 //! Accepting connections and closing them at shutdown, for all listeners.
 
+use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::rt::{Read, Write};
-use hyper::server::conn::http1::Connection;
-use hyper::service::HttpService;
+use hyper::server::conn::http1;
+use hyper::service::{Service, service_fn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::closing_stream::{AnswerGuard, OpenRequest, is_stopped};
+use crate::guarded_body::GuardedBody;
+
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -35,23 +43,75 @@
     }
 }
 
-/// Serves a connection until it closes; once `stop` changes, until its current request is answered.
+/// Closes a listener; returns the connections that wait to be accepted, which would be reset
+/// otherwise.
+pub(crate) fn close(listener: TcpListener) -> Vec<TcpStream> {
+    let mut streams = Vec::new();
+    // Asks the system, since the runtime may not know yet of connections that came while the process
+    // stood still.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::warn!("connections that wait at shutdown are lost: {e}");
+            return streams;
+        }
+    };
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => streams.extend(for_runtime(stream)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return streams,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(e) => {
+                log::warn!("connections that wait at shutdown are lost: {e}");
+                return streams;
+            }
+        }
+    }
+}
+
+/// Returns a connection that the runtime serves; `None` if the caller has already closed it.
+fn for_runtime(stream: std::net::TcpStream) -> Option<TcpStream> {
+    stream.set_nonblocking(true).ok()?;
+    stream.set_nodelay(true).ok()?;
+    TcpStream::from_std(stream).ok()
+}
+
+/// Serves a connection until it closes. Once `stop` is set, its requests are answered as the last of
+/// the connection; the [`ClosingStream`] below, whose state is `request`, ends where there is none.
+///
+/// [`ClosingStream`]: crate::closing_stream::ClosingStream
 pub(crate) async fn serve_until_stopped<I, S, B>(
-    connection: Connection<I, S>,
+    builder: &http1::Builder,
+    io: I,
+    request: Arc<OpenRequest>,
+    service: S,
     mut stop: watch::Receiver<bool>,
 ) where
     I: Read + Write + Unpin,
-    S: HttpService<Incoming, ResBody = B>,
-    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-    B: Body + 'static,
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+    B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut connection = pin!(connection);
+    let stopped = stop.clone();
+    let service = service_fn(|req| {
+        let guard = AnswerGuard::new(&request);
+        let response = service.call(req);
+        let stopped = &stopped;
+        async move {
+            let mut response = response.await?;
+            if is_stopped(stopped) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(guard, body)))
+        }
+    });
+    let mut connection = pin!(builder.serve_connection(io, service));
     tokio::select! {
         // An error means that the caller closed the connection; there is nothing to handle.
         _ = connection.as_mut() => return,
-        _ = stop.changed() => {}
+        () = async { drop(stop.wait_for(|stopped| *stopped).await) } => {}
     }
-    connection.as_mut().graceful_shutdown();
+    // Polls the connection, which then reads again.
     let _ = connection.await;
 }
--- /dev/null
+++ b/src/closing_stream.rs
@@ -0,0 +1,156 @@
+//! A connection that ends at shutdown once nothing of a request has arrived.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::task::{Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// A connection whose reads return its end, once `stop` is set, where no request has begun and the
+/// system holds no bytes. A request that has arrived is thus read, however late.
+pub(crate) struct ClosingStream {
+    stream: TcpStream,
+    stop: watch::Receiver<bool>,
+    request: Arc<OpenRequest>,
+}
+
+/// How far the current request of a connection is.
+#[derive(Debug, Default)]
+pub(crate) struct OpenRequest(AtomicU8);
+
+impl OpenRequest {
+    /// No byte of a request has been read.
+    const NONE: u8 = 0;
+    /// A request has been read in part, or has no complete answer.
+    const OPEN: u8 = 1;
+    /// The answer is complete, but may not have been written whole.
+    const ANSWERED: u8 = 2;
+
+    fn begin(&self) {
+        self.0.store(Self::OPEN, Ordering::Release);
+    }
+
+    fn is_none(&self) -> bool {
+        self.0.load(Ordering::Acquire) == Self::NONE
+    }
+
+    /// Records that all is written; returns whether that ends a request.
+    fn end_if_answered(&self) -> bool {
+        let (answered, none) = (Self::ANSWERED, Self::NONE);
+        let ended = self
+            .0
+            .compare_exchange(answered, none, Ordering::AcqRel, Ordering::Acquire);
+        ended.is_ok()
+    }
+}
+
+/// Records that a request is answered when dropped.
+pub(crate) struct AnswerGuard(Arc<OpenRequest>);
+
+impl AnswerGuard {
+    /// Creates the guard of the request that has been read.
+    pub(crate) fn new(request: &Arc<OpenRequest>) -> Self {
+        request.begin();
+        Self(Arc::clone(request))
+    }
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        (self.0).0.store(OpenRequest::ANSWERED, Ordering::Release);
+    }
+}
+
+impl ClosingStream {
+    pub(crate) fn new(stream: TcpStream, stop: watch::Receiver<bool>) -> Self {
+        Self {
+            stream,
+            stop,
+            request: Arc::default(),
+        }
+    }
+
+    /// Returns the state of the current request, which an [`AnswerGuard`] changes.
+    pub(crate) fn request(&self) -> Arc<OpenRequest> {
+        Arc::clone(&self.request)
+    }
+
+    /// Makes the connection reset when it is dropped.
+    pub(crate) fn set_zero_linger(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()
+    }
+
+    /// Asks the system, since the runtime may not know yet of bytes that arrived while the process
+    /// stood still.
+    fn is_empty(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Tells whether `stop` is set or its sender dropped.
+pub(crate) fn is_stopped(stop: &watch::Receiver<bool>) -> bool {
+    *stop.borrow() || stop.has_changed().is_err()
+}
+
+impl AsyncRead for ClosingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.request.begin();
+        }
+        let ends = polled.is_pending()
+            && self.request.is_none()
+            && is_stopped(&self.stop)
+            && self.is_empty();
+        if ends { Poll::Ready(Ok(())) } else { polled }
+    }
+}
+
+impl AsyncWrite for ClosingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    /// The server flushes once it has written all that it holds.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if polled.is_ready() && self.request.end_if_answered() && is_stopped(&self.stop) {
+            // The server reads again, and so learns whether there is another request.
+            cx.waker().wake_by_ref();
+        }
+        polled
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/front/serve.rs
+++ b/src/front/serve.rs
@@ -8,9 +8,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
-use crate::accept::{accept, serve_until_stopped};
+use crate::accept::{accept, close, serve_until_stopped};
+use crate::closing_stream::ClosingStream;
 
 /// Upper bound for the request line and headers of a request.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -32,6 +33,14 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+    let stopped = stop.clone();
+    let spawn = |stream, permit: OwnedSemaphorePermit| {
+        let (router, stop) = (router.clone(), stopped.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, router, read_timeout, stop).await;
+            drop(permit);
+        });
+    };
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
@@ -39,14 +48,14 @@
         let Some(stream) = accept(&listener, &mut stop).await else {
             break;
         };
-        let router = router.clone();
-        let stop = stop.clone();
-        tokio::spawn(async move {
-            serve_connection(stream, router, read_timeout, stop).await;
-            drop(permit);
-        });
+        spawn(stream, permit);
+    }
+    for stream in close(listener) {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        spawn(stream, permit);
     }
-    drop(listener);
     // All permits can be acquired only after the last connection has closed.
     let _ = permits.acquire_many(MAX_CONNECTIONS).await;
 }
@@ -57,11 +66,14 @@
     read_timeout: Duration,
     stop: watch::Receiver<bool>,
 ) {
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .timer(TokioTimer::new())
         .header_read_timeout(read_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
-    serve_until_stopped(connection, stop).await;
+        .max_headers(MAX_HEADERS);
+    let stream = ClosingStream::new(stream, stop.clone());
+    let request = stream.request();
+    let service = TowerToHyperService::new(router);
+    serve_until_stopped(&builder, TokioIo::new(stream), request, service, stop).await;
 }
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -10,10 +10,10 @@
 
 use futures_util::task::AtomicWaker;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use super::routes::CallerLimits;
+use crate::closing_stream::ClosingStream;
 
 /// Factor by which connections stay open beyond the idle timeout. Callers reuse connections up to
 /// the idle timeout, so a later close does not collide with a request.
@@ -33,7 +33,7 @@
 /// The connection is reset when dropped if its caller did not read in time, or if an answer broke
 /// off whose end only the end of the connection tells.
 pub(super) struct CallerStream {
-    stream: TcpStream,
+    stream: ClosingStream,
     limits: LimitsInForce,
     tracker: Arc<RequestTracker>,
     /// Number of complete heads at the latest read.
@@ -79,7 +79,7 @@
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, limits: LimitsInForce) -> Self {
+    pub(super) fn new(stream: ClosingStream, limits: LimitsInForce) -> Self {
         Self {
             stream,
             limits,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -25,6 +25,7 @@
 use super::routes::{CallerLimits, OrganisationPolicy, Route, RouteTable, allows_region};
 use super::{Gateway, lock};
 use crate::front::reply::refusal_json;
+use crate::guarded_body::GuardedBody;
 use crate::id::{OrganisationId, RegionId};
 use crate::in_flight::InFlightGuard;
 use crate::journal;
@@ -490,45 +491,6 @@
         .boxed_unsync()
 }
 
-/// A body that keeps a guard until the body is dropped.
-pub(super) struct GuardedBody<G, B> {
-    _guard: G,
-    body: B,
-}
-
-impl<G, B> GuardedBody<G, B> {
-    pub(super) fn new(guard: G, body: B) -> Self {
-        Self {
-            _guard: guard,
-            body,
-        }
-    }
-}
-
-impl<G, B> hyper::body::Body for GuardedBody<G, B>
-where
-    G: Unpin,
-    B: hyper::body::Body<Data = Bytes, Error = BodyError> + Unpin,
-{
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<hyper::body::Frame<Bytes>, BodyError>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
-    }
-}
-
 async fn read_body(
     mut body: Incoming,
     limits: &CallerLimits,
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -15,9 +15,12 @@
 use tokio::sync::watch;
 
 use super::caller_stream::{CallerStream, ServingGuard};
-use super::callers::{AnswerDeadline, GuardedBody, ResponseBody};
+use super::callers::{AnswerDeadline, ResponseBody};
 use super::routes::CallerLimits;
-use crate::accept::{accept, serve_until_stopped};
+use crate::accept::{accept, close, serve_until_stopped};
+use crate::closing_stream::ClosingStream;
+use crate::guarded_body::GuardedBody;
+use crate::in_flight::InFlight;
 
 /// Maximum number of header lines in a request.
 const MAX_HEADERS: usize = 128;
@@ -38,15 +41,30 @@
     }
 }
 
-/// Serves connections until `stop` changes, then closes idle connections at once and every other
-/// connection after its current request.
+/// Serves connections until `stop` changes. Connections without a request are then closed at once,
+/// every other one after its current request. The listener and each connection count as one of
+/// `connections` until they are closed.
 pub(super) async fn serve(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
     mut stop: watch::Receiver<bool>,
+    connections: InFlight,
 ) {
+    let _listening = connections.track();
+    let stopped = stop.clone();
+    let spawn = |stream| {
+        let (handler, stop) = (Arc::clone(&handler), stopped.clone());
+        let guard = connections.track();
+        tokio::spawn(async move {
+            serve_connection(stream, handler, stop).await;
+            drop(guard);
+        });
+    };
     while let Some(stream) = accept(&listener, &mut stop).await {
-        tokio::spawn(serve_connection(stream, Arc::clone(&handler), stop.clone()));
+        spawn(stream);
+    }
+    for stream in close(listener) {
+        spawn(stream);
     }
 }
 
@@ -57,6 +75,8 @@
 ) {
     let buffer_bytes = handler.limits().max_header_bytes.max(MIN_BUFFER_BYTES);
     let limited = Arc::clone(&handler);
+    let stream = ClosingStream::new(stream, stop.clone());
+    let request = stream.request();
     let stream = CallerStream::new(stream, Box::new(move || limited.limits()));
     let tracker = stream.tracker();
     let service = service_fn(move |req: Request<Incoming>| {
@@ -90,12 +110,12 @@
             Ok::<_, Infallible>(response.map(BodyExt::boxed_unsync))
         }
     });
-    let connection = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    builder
         .header_read_timeout(None)
         .max_buf_size(buffer_bytes)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
-    serve_until_stopped(connection, stop).await;
+        .max_headers(MAX_HEADERS);
+    serve_until_stopped(&builder, TokioIo::new(stream), request, service, stop).await;
 }
 
 /// Returns the size of a request's head, without the spaces that callers may add.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -96,6 +96,7 @@
         .text("front", &instance.front.to_string())
         .value("first_start", gateway.first_start);
     let (stop_tx, stopped) = watch::channel(false);
+    let connections = InFlight::default();
     let platform: Arc<dyn Handler> = Arc::new(PlatformHandler(Arc::clone(&running.gateway)));
     let metrics: Arc<dyn Handler> = Arc::new(MetricsHandler(running.metrics.clone()));
     let callers: Arc<dyn Handler> = Arc::new(CallerHandler(Arc::clone(&running.gateway)));
@@ -105,11 +106,12 @@
         (admin, metrics),
         (front, callers),
     ] {
-        tokio::spawn(serve(listener, handler, stopped.clone()));
+        let (stopped, connections) = (stopped.clone(), connections.clone());
+        tokio::spawn(serve(listener, handler, stopped, connections));
     }
     stop.await;
     let gateway = Arc::clone(&running.gateway);
-    running.shut_down(stop_tx).await;
+    running.shut_down(stop_tx, &connections).await;
     journal::line("stop").value("in_flight", gateway.in_flight.count());
     journal::flush();
     Ok(())
@@ -265,7 +267,7 @@
 
 impl Running {
     /// Announces that the instance leaves, waits for the requests in flight, and closes.
-    async fn shut_down(self, stop_tx: watch::Sender<bool>) {
+    async fn shut_down(self, stop_tx: watch::Sender<bool>, connections: &InFlight) {
         let gateway = &self.gateway;
         let drain_limit = gateway
             .reloadable_settings()
@@ -281,7 +283,8 @@
         sleep(LEAVE_NOTICE).await;
         // Requests accepted later might not end within the grace period.
         stop_tx.send_replace(true);
-        let waits = || gateway.clock.now() < drained_at && gateway.in_flight.count() > 0;
+        let is_busy = || gateway.in_flight.count() > 0 || connections.count() > 0;
+        let waits = || gateway.clock.now() < drained_at && is_busy();
         loop {
             while waits() {
                 sleep(DRAIN_POLL_PERIOD).await;
--- /dev/null
+++ b/tests/closing.rs
@@ -0,0 +1,148 @@
+//! Closing of callers' connections at shutdown.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::any;
+use limpetstand::front::serve;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_blocking};
+use tokio::time::{sleep, timeout};
+
+/// Longer than any request of these tests takes.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// More than the system holds for a connection whose caller does not read.
+const LONG_BYTES: usize = 32 * 1024 * 1024;
+
+/// Number of connections of each kind.
+const CONNECTIONS: usize = 20;
+
+const REQUEST: &[u8] = b"GET /short HTTP/1.1\r\nhost: x\r\n\r\n";
+
+struct Server {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+/// Starts a server on this thread, which serves nothing while the test blocks it.
+async fn start() -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let router = Router::new()
+        .route("/short", any(|| async { "short" }))
+        .route("/long", any(|| async { vec![b'x'; LONG_BYTES] }));
+    let (stop, stopped) = watch::channel(false);
+    let task = tokio::spawn(serve::serve(listener, router, READ_TIMEOUT, stopped));
+    Server {
+        address,
+        stop,
+        task,
+    }
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let connection = TcpStream::connect(address).expect("a connection");
+    let limited = connection.set_read_timeout(Some(READ_TIMEOUT));
+    limited.expect("a time limit");
+    connection
+}
+
+/// Reads until an answer is complete or the connection ends; returns all that was read.
+fn read_answer(connection: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut buf = [0; 4096];
+    while !text.ends_with("\r\n\r\nshort") {
+        match connection.read(&mut buf) {
+            Ok(n) if n > 0 => text.push_str(&String::from_utf8_lossy(&buf[..n])),
+            _ => break,
+        }
+    }
+    text
+}
+
+/// Opens connections on each of which one request has been answered.
+async fn used_connections(address: SocketAddr) -> Vec<TcpStream> {
+    let opened = spawn_blocking(move || {
+        let mut connections = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let mut connection = connect(address);
+            connection.write_all(REQUEST).expect("sent");
+            assert!(read_answer(&mut connection).starts_with("HTTP/1.1 200"));
+            connections.push(connection);
+        }
+        connections
+    });
+    opened.await.expect("connections")
+}
+
+#[tokio::test]
+async fn shutdown_after_a_standstill_answers_requests_that_lie_unread() {
+    let server = start().await;
+    let mut connections = used_connections(server.address).await;
+    // Nothing is awaited until `stop` is set, so the server stands still.
+    for connection in &mut connections {
+        connection.write_all(REQUEST).expect("sent");
+    }
+    for _ in 0..CONNECTIONS {
+        let mut connection = connect(server.address);
+        connection.write_all(REQUEST).expect("sent");
+        connections.push(connection);
+    }
+    server.stop.send_replace(true);
+    let answers = spawn_blocking(move || {
+        let mut answers = Vec::new();
+        for connection in &mut connections {
+            answers.push(read_answer(connection));
+        }
+        answers
+    });
+    for answer in answers.await.expect("answers") {
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+    }
+    let ended = timeout(READ_TIMEOUT, server.task).await;
+    ended.expect("closed in time").expect("no panic");
+}
+
+#[tokio::test]
+async fn shutdown_closes_connections_without_a_request_at_once() {
+    let server = start().await;
+    let _kept = used_connections(server.address).await;
+    let _new = connect(server.address);
+    sleep(Duration::from_millis(50)).await;
+    server.stop.send_replace(true);
+    let ended = timeout(Duration::from_secs(1), server.task).await;
+    ended.expect("closed in time").expect("no panic");
+}
+
+#[tokio::test]
+async fn shutdown_does_not_cut_an_answer_that_is_not_written_whole() {
+    let server = start().await;
+    let address = server.address;
+    let sent = spawn_blocking(move || {
+        let mut connection = connect(address);
+        let sent = connection.write_all(b"GET /long HTTP/1.1\r\nhost: x\r\n\r\n");
+        sent.expect("sent");
+        connection
+    });
+    let mut connection = sent.await.expect("a connection");
+    sleep(Duration::from_millis(100)).await;
+    server.stop.send_replace(true);
+    sleep(Duration::from_millis(100)).await;
+    let read = spawn_blocking(move || {
+        let mut answer = Vec::new();
+        let read = connection.read_to_end(&mut answer);
+        read.map(|_| answer)
+    });
+    let answer = read.await.expect("joined").expect("an answer");
+    let head = answer.windows(4).position(|w| w == b"\r\n\r\n");
+    let head = head.expect("a head") + 4;
+    assert_eq!(answer.len() - head, LONG_BYTES);
+    let ended = timeout(READ_TIMEOUT, server.task).await;
+    ended.expect("closed in time").expect("no panic");
+}
