--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`brittle`], [`departure`], [`attempt_timeout`]) use neither sockets nor a clock.
+//! [`tolerance`], [`urgency`], [`brittle`], [`attempt_timeout`]) use neither sockets nor a clock.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,7 +24,6 @@
 mod callers;
 mod crashes;
 mod cross_region;
-pub mod departure;
 pub mod dialect;
 mod directory;
 pub mod ejection;
@@ -78,7 +77,6 @@
 pub use self::run::run;
 
 use self::crashes::ProbedProcesses;
-use self::departure::Departure;
 use self::dialect::{Dialect, PromptPart};
 use self::ejection::OwnEjections;
 use self::job::Job;
@@ -96,6 +94,7 @@
 use self::upstream::TargetConnections;
 use self::urgency::ServedShares;
 use crate::clock::Clock;
+use crate::departure::Departure;
 use crate::id::{InstanceId, OrganisationId, RegionId, RouteId};
 use crate::in_flight::InFlight;
 use crate::journal;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::callers::{CallerHandler, ResponseBody, full_body};
-use super::departure::Departure;
 use super::dialect::find_platform;
 use super::directory::PlatformHandler;
 use super::follow::{Follower, FollowerDeps, WithdrawalHandler};
@@ -35,6 +34,7 @@
 use super::upstream::TargetConnections;
 use super::withdrawn::apply_withdrawals;
 use super::{Gateway, RelayedRequests, lock};
+use crate::departure::Departure;
 use crate::in_flight::InFlight;
 use crate::journal;
 use crate::kernel::{KernelError, SharedServices, bind, own_member};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 mod closing_stream;
 pub mod config;
 pub mod daemon;
+pub mod departure;
 pub mod entries;
 pub mod fair;
 pub mod front;
