Keep a new connection for its first request when an instance stops

A connection that was accepted just before the listeners closed was closed at the stop before its caller's request, which was on its way, had arrived. Now it waits for its first request for 500 ms after its opening. The new test of tests/closing.rs failed before (no answer to a request sent 200 ms after the stop); all four of closing.rs pass.

--- a/src/closing_stream.rs
+++ b/src/closing_stream.rs
@@ -6,11 +6,17 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::{Sleep, sleep};
+
+/// Time after its opening for which a connection waits for its first request at shutdown. Callers open
+/// a connection when they have a request to send.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 
 /// A connection whose reads return its end, once `stop` is set, where no request has begun and the
 /// system holds no bytes. A request that has arrived is thus read, however late.
@@ -18,6 +24,8 @@
     stream: TcpStream,
     stop: watch::Receiver<bool>,
     request: Arc<OpenRequest>,
+    /// Ends the wait for the first request; `None` once a byte of it has been read.
+    first_request: Option<Pin<Box<Sleep>>>,
 }
 
 /// How far the current request of a connection is.
@@ -73,6 +81,7 @@
             stream,
             stop,
             request: Arc::default(),
+            first_request: Some(Box::pin(sleep(FIRST_REQUEST_TIME))),
         }
     }
 
@@ -86,6 +95,12 @@
         self.stream.set_zero_linger()
     }
 
+    /// Tells whether the first request may still be on its way.
+    fn awaits_first_request(&mut self, cx: &mut Context<'_>) -> bool {
+        let timer = self.first_request.as_mut();
+        timer.is_some_and(|timer| timer.as_mut().poll(cx).is_pending())
+    }
+
     /// Asks the system, since the runtime may not know yet of bytes that arrived while the process
     /// stood still.
     fn is_empty(&self) -> bool {
@@ -110,10 +125,12 @@
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
             self.request.begin();
+            self.first_request = None;
         }
         let ends = polled.is_pending()
             && self.request.is_none()
             && is_stopped(&self.stop)
+            && !self.awaits_first_request(cx)
             && self.is_empty();
         if ends { Poll::Ready(Ok(())) } else { polled }
     }
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -18,6 +18,9 @@
 /// More than the system holds for a connection whose caller does not read.
 const LONG_BYTES: usize = 32 * 1024 * 1024;
 
+/// Time for which a request may be on its way to a connection that is being closed.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
 /// Number of connections of each kind.
 const CONNECTIONS: usize = 20;
 
@@ -109,6 +112,20 @@
     ended.expect("closed in time").expect("no panic");
 }
 
+#[tokio::test]
+async fn shutdown_does_not_close_a_new_connection_before_its_first_request() {
+    let server = start().await;
+    let mut connection = connect(server.address);
+    sleep(Duration::from_millis(50)).await;
+    server.stop.send_replace(true);
+    sleep(LOSS_SLACK).await;
+    connection.write_all(REQUEST).expect("sent");
+    let answer = spawn_blocking(move || read_answer(&mut connection)).await;
+    assert!(answer.expect("joined").starts_with("HTTP/1.1 200"));
+    let ended = timeout(READ_TIMEOUT, server.task).await;
+    ended.expect("closed in time").expect("no panic");
+}
+
 #[tokio::test]
 async fn shutdown_closes_connections_without_a_request_at_once() {
     let server = start().await;
