Say what is known of a relayed request at the drain limit

A request that an instance had taken for another region and that had no answer at the drain limit was dropped with the process: the sender read a broken pipe and told its caller 'unknown', also where nothing had been sent.

`Job::sent` marks a request before its first byte goes out, to a target or to another instance, and is taken back only where nothing can have run. `attempts` rises only after the head or a time-out and cannot tell. Once the instance gives up, a relayed request without a head is refused as not run if it was not sent, as unknown otherwise, counted as an attempt.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -175,6 +175,13 @@
         self.departure.borrow().is_leaving()
     }
 
+    /// Waits until this instance gives up the requests that have no answer.
+    async fn gives_up(&self) {
+        let mut departure = self.departure.subscribe();
+        let waited = departure.wait_for(|d| *d == Departure::GivesUp).await;
+        drop(waited);
+    }
+
     /// Returns whether requests can be served: the instance is not leaving and has loaded the route
     /// table and the target registry.
     fn is_ready(&self) -> bool {
@@ -243,7 +250,18 @@
             return (head, None);
         }
         let service = job.service.clone();
-        let (mut head, source) = match self.0.run_local(&mut job).await {
+        let outcome = tokio::select! {
+            outcome = self.0.run_local(&mut job) => outcome,
+            () = self.0.gives_up() => {
+                let failure = job.given_up();
+                journal::line("given_up")
+                    .text("request", &job.id)
+                    .text("ran", failure.refusal.ran().as_str())
+                    .ms("time_left_ms", job.time_left());
+                Err(failure)
+            }
+        };
+        let (mut head, source) = match outcome {
             Ok(reply) => {
                 let outcome = WireOutcome::Answer {
                     status: reply.status.as_u16(),
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -145,6 +145,7 @@
             };
             job.attempts = failure.attempts;
             job.may_have_run |= failure.refusal.ran() == Ran::Unknown;
+            job.sent = false;
             let may_retry = failure.try_other_region
                 && (failure.refusal.ran() == Ran::No || job.kind.may_repeat())
                 && !job.time_left().is_zero()
@@ -240,6 +241,7 @@
                 outcome,
                 Err(AttemptError::Silent(_) | AttemptError::Unknown(_))
             );
+            job.sent = false;
             let failure = match outcome {
                 Ok(reply) => return Ok(reply),
                 Err(AttemptError::NotReached(why)) => {
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -249,6 +249,7 @@
             regions: admitted.regions,
             prompt: head.prompt.clone(),
             silent_targets: Vec::new(),
+            sent: false,
             may_have_run: false,
             suspects: Arc::default(),
             resume_after: head.resume_after.clone(),
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -66,6 +66,7 @@
                     format_ms(stats.wait_ms.get(region).copied()),
                 )
                 .ms("time_left_ms", job.time_left());
+            job.sent = true;
             let relayed = self.peers.relay(peer.peer, message, job.time_left()).await;
             let relayed = match relayed {
                 Ok(relayed) => relayed,
@@ -74,6 +75,7 @@
                         .text("request", &job.id)
                         .text("peer", peer.id.as_str())
                         .text("error", &why);
+                    job.sent = false;
                     unreachable += 1;
                     continue;
                 }
@@ -107,6 +109,7 @@
                     journal::line("instance_cut_off")
                         .text("request", &job.id)
                         .text("peer", peer.id.as_str());
+                    job.sent = false;
                     cut_off += 1;
                     continue;
                 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -14,7 +14,11 @@
 use super::source::Source;
 use crate::id::{OrganisationId, RegionId, RouteId, TargetId};
 use crate::quarantine::{Fingerprint, Suspect};
-use crate::refusal::Refusal;
+use crate::refusal::{Code, Refusal};
+
+/// `Retry-After` for a request that an instance does not take as it leaves; other instances take
+/// requests at once.
+pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// A request that has passed the checks of the instance that received it; the request carries no
 /// API key.
@@ -58,6 +62,9 @@
     pub prompt: Vec<PromptPart>,
     /// Targets that are not asked, since they are silent on this request.
     pub silent_targets: Vec<TargetId>,
+    /// Whether an attempt is under way that has begun to send the request to a target or to another
+    /// instance.
+    pub sent: bool,
     /// Whether an earlier attempt may have run the request.
     pub may_have_run: bool,
     /// What a crash of a target that runs the request may be blamed on.
@@ -80,6 +87,26 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Tells whether the request may have run or may be running.
+    pub(super) fn may_run(&self) -> bool {
+        self.sent || self.may_have_run
+    }
+
+    /// Returns the failure of a request that a leaving instance gives up.
+    pub(super) fn given_up(&self) -> Failure {
+        let why = "the instance leaves";
+        let refusal = if self.may_run() {
+            Refusal::unknown(Code::TargetFailed, why)
+        } else {
+            Refusal::not_run(Code::Leaving, why).retry_after(LEAVING_RETRY_AFTER)
+        };
+        Failure {
+            refusal,
+            attempts: self.attempts + u32::from(self.sent),
+            try_other_region: true,
+        }
+    }
+
     /// Returns what the request asks of its target.
     pub(super) fn demand<'a>(&'a self, tried: &'a [TargetId]) -> Demand<'a> {
         Demand {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -228,6 +228,7 @@
             regions: wire.regions,
             prompt,
             silent_targets: Vec::new(),
+            sent: false,
             may_have_run: false,
             suspects,
             resume_after: wire.resume_after,
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -137,12 +137,16 @@
             .value("place_reserved", has_place)
             .value("kept_connection", connection.is_reused())
             .ms("time_left_ms", job.time_left());
+        job.sent = true;
         let mut head: PendingHead = Box::pin(async move {
             let result = connection.send(req).await;
             (connection, result)
         });
         let result = match timeout(head_timeout, &mut head).await {
-            Ok((_, Err(SendError::NotSent(why)))) => return Err(AttemptError::NotReached(why)),
+            Ok((_, Err(SendError::NotSent(why)))) => {
+                job.sent = false;
+                return Err(AttemptError::NotReached(why));
+            }
             Ok(result) => Some(result),
             Err(_) => None,
         };
