Refuse a relayed request that a leaving instance would drop

Callers saw an answer that broke off: the request had been relayed to an instance that had got SIGTERM, ran there, and was dropped at the drain limit.

The leaving instance now refuses at once, before anything is sent, what is not certain to end before its drain limit, as not run with Code::Leaving. It knows its own departure, so the news need not be faster. The sender takes another instance of the region and leaves that process out until it has another incarnation or is gone. Leaving instances do not count towards the bound on tries: each refuses a sender once and costs a round trip.

The head keeps its layout.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,8 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`brittle`], [`departure`], [`attempt_timeout`]) use neither sockets nor a clock.
+//! [`tolerance`], [`urgency`], [`brittle`], [`departure`], [`relay_tries`], [`attempt_timeout`]) use
+//! neither sockets nor a clock.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -50,6 +51,7 @@
 pub mod registry;
 mod registry_news;
 mod relay;
+pub mod relay_tries;
 pub mod restored;
 pub mod routes;
 mod run;
@@ -78,10 +80,10 @@
 pub use self::run::run;
 
 use self::crashes::ProbedProcesses;
-use self::departure::Departure;
+use self::departure::{Departure, LeavingInstances};
 use self::dialect::{Dialect, PromptPart};
 use self::ejection::OwnEjections;
-use self::job::Job;
+use self::job::{Failure, Job};
 use self::load_shedding::TypicalPrefill;
 use self::origin_news::OriginRecords;
 use self::placement::{Reports, Scheduling};
@@ -139,6 +141,7 @@
     /// Held while targets are tried to find out whether this instance is cut off from all.
     link_check: tokio::sync::Mutex<()>,
     departure: watch::Sender<Departure>,
+    leaving_instances: Mutex<LeavingInstances>,
     in_flight: InFlight,
 }
 
@@ -239,10 +242,16 @@
             );
             return (refused_head(job.attempts, refusal), None);
         }
-        if self.0.is_leaving() {
+        let departure = *self.0.departure.borrow();
+        if departure.is_leaving() {
+            let takes = departure.outlasts(self.0.clock.now(), job.time_left());
             journal::line("relayed_to_leaving")
                 .text("request", &job.id)
+                .value("taken", takes)
                 .ms("time_left_ms", job.time_left());
+            if !takes {
+                return (failed_head(job.given_up()), None);
+            }
         }
         if self.0.is_cut_off() {
             let mut head = refused_head(job.attempts, cut_off_refusal());
@@ -277,10 +286,10 @@
                 };
                 (head, Some(reply.source))
             }
-            Err(failure) => (refused_head(failure.attempts, failure.refusal), None),
+            Err(failure) => (failed_head(failure), None),
         };
         head.wait_ms = self.0.min_wait(&service);
-        head.cut_off = self.0.is_cut_off();
+        head.cut_off |= self.0.is_cut_off();
         (head, source)
     }
 }
@@ -290,6 +299,16 @@
     Refusal::not_run(Code::NoTarget, "the instance is cut off from its targets")
 }
 
+/// Creates the head of a request without an answer. Builds that do not look for [`Code::Leaving`]
+/// relay a request that was not sent to another instance if this one says that it is cut off.
+fn failed_head(failure: Failure) -> WireHead {
+    let is_leaving = failure.refusal.code() == Code::Leaving;
+    WireHead {
+        cut_off: is_leaving,
+        ..refused_head(failure.attempts, failure.refusal)
+    }
+}
+
 fn refused_head(attempts: u32, refusal: Refusal) -> WireHead {
     WireHead {
         cut_off: false,
--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -4,28 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Gateway;
 use super::attempts::{attempt_failed_line, format_ms, no_target_failure, to_millis};
 use super::job::{Failure, Job, Reply};
 use super::placement::Placement;
 use super::pool;
 use super::region::RegionStats;
 use super::relay::{WireHead, WireJob, WireOutcome, headers_from_wire, status_from_wire};
+use super::relay_tries::{NotTaken, RelayTries};
 use super::source::Source;
+use super::{Gateway, lock};
 use crate::id::RegionId;
 use crate::journal;
 use crate::member::Member;
 use crate::peer::{PeerError, decode, encode};
 use crate::refusal::{Code, Refusal};
 
-/// Number of unreachable instances after which a request is not relayed to further instances of a
-/// region.
-const MAX_UNREACHABLE_INSTANCES: usize = 2;
-
-/// Number of instances of a region that say that they are cut off from its targets after which a
-/// request is relayed to no further one.
-const MAX_CUT_OFF_INSTANCES: usize = 4;
-
 impl Gateway {
     /// Relays the request to another instance of a region and returns its answer.
     pub(super) async fn relay_to_region(
@@ -40,8 +33,8 @@
         peers.retain(|member| self.may_relay_to(now, member));
         let mut last_failure = no_target_failure(job);
         last_failure.try_other_region = true;
-        let (mut unreachable, mut cut_off) = (0, 0);
-        while unreachable < MAX_UNREACHABLE_INSTANCES && cut_off < MAX_CUT_OFF_INSTANCES {
+        let mut tries = RelayTries::default();
+        while tries.may_continue() && !job.time_left().is_zero() {
             if peers.is_empty() {
                 return Err(last_failure);
             }
@@ -76,7 +69,7 @@
                         .text("peer", peer.id.as_str())
                         .text("error", &why);
                     job.sent = false;
-                    unreachable += 1;
+                    tries.record(NotTaken::NotReached);
                     continue;
                 }
                 Err(e) => {
@@ -102,7 +95,17 @@
                 }
             };
             self.record_remote_wait(region, &job.service, head.wait_ms);
-            if head.cut_off {
+            if head.is_leaving() {
+                lock(&self.leaving_instances).record(&fleet, &peer.id, peer.incarnation);
+                if head.is_not_sent(job.attempts) {
+                    journal::line("instance_leaving")
+                        .text("request", &job.id)
+                        .text("peer", peer.id.as_str());
+                    job.sent = false;
+                    tries.record(NotTaken::Leaving);
+                    continue;
+                }
+            } else if head.cut_off {
                 self.reach()
                     .record_instance_cut_off(self.clock.now(), &peer.id);
                 if head.is_not_sent(job.attempts) {
@@ -110,7 +113,7 @@
                         .text("request", &job.id)
                         .text("peer", peer.id.as_str());
                     job.sent = false;
-                    cut_off += 1;
+                    tries.record(NotTaken::CutOff);
                     continue;
                 }
             }
@@ -151,9 +154,11 @@
     }
 
     /// Tells whether requests may be relayed to a live instance: another one that has not lately said
-    /// that it is cut off from its targets.
+    /// that it is cut off from its targets, nor that it leaves.
     fn may_relay_to(&self, now: Duration, member: &Member) -> bool {
-        member.id != self.id && !self.reach().avoids(now, &member.id)
+        member.id != self.id
+            && !self.reach().avoids(now, &member.id)
+            && !lock(&self.leaving_instances).contains(&member.id, member.incarnation)
     }
 
     /// Creates the failure of a relayed request that returned no answer.
--- a/src/gateway/departure.rs
+++ b/src/gateway/departure.rs
@@ -1,8 +1,12 @@
-//! The end of this instance: when it leaves, which work it may still take, and when it gives up what
-//! has not ended.
+//! The end of instances: which work this one may still take when it leaves, when it gives up what has
+//! not ended, and which others have said that they leave.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::id::InstanceId;
+use crate::member::Fleet;
+
 /// How far this instance is in leaving. Times are those of the instance's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Departure {
@@ -34,3 +38,25 @@
         }
     }
 }
+
+/// The instances that refused a relayed request since they leave. The news of a departure may reach
+/// this instance later.
+#[derive(Debug, Clone, Default)]
+pub struct LeavingInstances {
+    incarnations: HashMap<InstanceId, u64>,
+}
+
+impl LeavingInstances {
+    /// Records that an instance has said that it leaves. Forgets instances that the fleet no longer
+    /// holds.
+    pub fn record(&mut self, fleet: &Fleet, id: &InstanceId, incarnation: u64) {
+        self.incarnations
+            .retain(|id, _| fleet.members.iter().any(|m| m.id == *id));
+        self.incarnations.insert(id.clone(), incarnation);
+    }
+
+    /// Tells whether this process of an instance has said that it leaves.
+    pub fn contains(&self, id: &InstanceId, incarnation: u64) -> bool {
+        self.incarnations.get(id) == Some(&incarnation)
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 use super::routes::RouteKind;
 use crate::id::{OrganisationId, RegionId, RouteId, TargetId};
 use crate::peer::PeerError;
-use crate::refusal::Refusal;
+use crate::refusal::{Code, Refusal};
 
 /// The longest deadline that a relayed request may carry.
 const MAX_TIME_LEFT: Duration = Duration::from_secs(24 * 60 * 60);
@@ -68,6 +68,11 @@
 }
 
 impl WireHead {
+    /// Tells whether the answering instance refuses the request since it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        matches!(&self.outcome, WireOutcome::Refused(refusal) if refusal.code() == Code::Leaving)
+    }
+
     /// Tells whether the request was refused without being sent to a target, after `attempts` before.
     pub(super) fn is_not_sent(&self, attempts: u32) -> bool {
         matches!(self.outcome, WireOutcome::Refused(_)) && self.attempts == attempts
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -224,6 +224,7 @@
         own_ejections: std::sync::Mutex::default(),
         link_check: tokio::sync::Mutex::default(),
         departure: watch::Sender::new(Departure::default()),
+        leaving_instances: std::sync::Mutex::default(),
         in_flight: InFlight::default(),
     });
     let mut server = PeerServer::for_relays(Some(Arc::new(RelayedRequests(Arc::clone(&gateway)))))
