Refuse requests after the close that may outlast the drain limit

A request that was read after a leaving instance had closed its listeners, on a connection that was open already, was taken whatever time it might need.

Such a request is refused at once as not run (503, `Retry-After`, `Connection: close`) unless its deadline lies before the drain limit (`Departure::takes`), so that its caller turns to another instance. It is refused once its body has been read: unread bytes would reset the connection and the refusal with it.

--- a/src/departure.rs
+++ b/src/departure.rs
@@ -14,6 +14,11 @@
         /// The time at which requests in flight are given up.
         drained_at: Duration,
     },
+    /// The instance leaves and has closed its listeners, as callers know by now that it leaves.
+    Closed {
+        /// The time at which requests in flight are given up.
+        drained_at: Duration,
+    },
     /// The time for requests in flight is over: each one without an answer is refused.
     GivesUp,
 }
@@ -29,8 +34,19 @@
     pub fn outlasts(self, now: Duration, time_left: Duration) -> bool {
         match self {
             Self::NotLeaving => true,
-            Self::Leaving { drained_at } => now + time_left <= drained_at,
+            Self::Leaving { drained_at } | Self::Closed { drained_at } => {
+                now + time_left <= drained_at
+            }
             Self::GivesUp => false,
         }
     }
+
+    /// Tells whether a caller's request is taken at `now`, with `time_left` until its deadline.
+    /// Callers that do not know yet that the instance leaves are served as ever.
+    pub fn takes(self, now: Duration, time_left: Duration) -> bool {
+        match self {
+            Self::NotLeaving | Self::Leaving { .. } => true,
+            Self::Closed { .. } | Self::GivesUp => self.outlasts(now, time_left),
+        }
+    }
 }
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -17,7 +17,7 @@
 use super::answer_body::{BodyError, body_frames};
 use super::attempts::{STARTUP_WAIT, strip_hop_by_hop_headers};
 use super::dialect::RequestHead;
-use super::job::{Failure, Job, Reply, suspects};
+use super::job::{Failure, Job, LEAVING_RETRY_AFTER, Reply, suspects};
 use super::listen::Handler;
 use super::load_shedding;
 use super::pool;
@@ -113,6 +113,11 @@
                 return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
             }
         };
+        if !self.takes(deadline) {
+            let refusal = Refusal::not_run(Code::Leaving, "the instance leaves")
+                .retry_after(LEAVING_RETRY_AFTER);
+            return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
+        }
         let destination = match self.destination(&admitted, &head).await {
             Ok(destination) => destination,
             Err(refusal) => {
@@ -192,6 +197,13 @@
         response.map(|()| GuardedBody::new(guard, body).boxed_unsync())
     }
 
+    /// Tells whether the instance takes a request that has been read.
+    fn takes(&self, deadline: Instant) -> bool {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let departure = *self.0.departure.borrow();
+        departure.takes(self.0.clock.now(), time_left)
+    }
+
     /// Records whether there was room for a request.
     fn record_outcome(&self, job: &Job, outcome: &Result<Result<Reply, Failure>, Elapsed>) {
         let served = match outcome {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -281,7 +281,9 @@
         self.withdraw_tx.send_replace(true);
         self.membership.leave().await;
         sleep(LEAVE_NOTICE).await;
-        // Requests accepted later might not end within the grace period.
+        gateway
+            .departure
+            .send_replace(Departure::Closed { drained_at });
         stop_tx.send_replace(true);
         let is_busy = || gateway.in_flight.count() > 0 || connections.count() > 0;
         let waits = || gateway.clock.now() < drained_at && is_busy();
