Keep a claimed request in flight until its outcome is stored

The outcome was written by a task of its own that no count of requests in flight held, so the shutdown did not wait for it. By reading; no such loss was seen at a process.

`Claim::store_outcome` and `store_unknown_outcome` now end when the write has ended, and the request counts as in flight until then. Its caller waits no longer than before.

Guard: the last part of tests/scenarios/attempt/drain_limit.txt, with a store of 200 ms. Before, no request was in flight where now the two and the one are whose outcomes are being written; now it passes, with the others of tests/attempt.rs.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -128,7 +128,7 @@
 ) -> Result<Answer, Refusal> {
     let mut execution = match Execution::new(core, call) {
         Ok(execution) => execution,
-        Err(refusal) => return Err(release_claim(claim, refusal).await),
+        Err(refusal) => return Err(release_claim(claim, refusal, guard).await),
     };
     let departure = execution.core.departure.clone();
     let outcome = tokio::select! {
@@ -138,19 +138,23 @@
     };
     match outcome {
         Ok(started) => Ok(Relay::start(execution, started, claim, guard)),
-        Err(refusal) => Err(release_claim(claim, refusal).await),
+        Err(refusal) => Err(release_claim(claim, refusal, guard).await),
     }
 }
 
-/// Releases the claim of a refused request if the request has not run.
+/// Releases the claim of a refused request if the request has not run, and settles it in the
+/// background if the request may have run; it counts as in flight until then.
 ///
 /// The returned refusal says so if the release could not be confirmed.
-async fn release_claim(claim: Option<Claim>, refusal: Refusal) -> Refusal {
+async fn release_claim(claim: Option<Claim>, refusal: Refusal, guard: InFlightGuard) -> Refusal {
     let Some(claim) = claim else {
         return refusal;
     };
     if refusal.ran() == Ran::Unknown {
-        claim.store_unknown_outcome();
+        tokio::spawn(async move {
+            claim.store_unknown_outcome().await;
+            drop(guard);
+        });
         return refusal;
     }
     if claim.release().await {
--- a/src/attempt/relay.rs
+++ b/src/attempt/relay.rs
@@ -94,7 +94,7 @@
             }
         };
         match end {
-            AnswerEnd::Complete => self.finish(),
+            AnswerEnd::Complete => self.finish().await,
             AnswerEnd::CallerDisconnected => {}
             AnswerEnd::Failed(refusal) => self.fail(refusal).await,
         }
@@ -236,18 +236,15 @@
         }
     }
 
-    fn finish(mut self) {
-        if let Some(claimed) = self.claimed.take() {
-            claimed
-                .claim
-                .store_outcome(self.head.clone(), claimed.body.freeze());
+    /// Ends the answer at its caller, and stores the outcome of a claimed request.
+    async fn finish(self) {
+        drop(self.tx);
+        if let Some(ClaimedAnswer { claim, body }) = self.claimed {
+            claim.store_outcome(self.head, body.freeze()).await;
         }
     }
 
-    async fn fail(mut self, refusal: Refusal) {
-        if let Some(claimed) = self.claimed.take() {
-            claimed.claim.store_unknown_outcome();
-        }
+    async fn fail(self, refusal: Refusal) {
         let refusal = Refusal::unknown(
             match refusal.code() {
                 Code::Quarantined => Code::Quarantined,
@@ -258,6 +255,10 @@
         );
         // The send fails only if the caller has disconnected.
         let _ = self.tx.send(Err(refusal)).await;
+        drop(self.tx);
+        if let Some(claimed) = self.claimed {
+            claimed.claim.store_unknown_outcome().await;
+        }
     }
 }
 
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -280,19 +280,19 @@
         false
     }
 
-    /// Stores the outcome of the request in the background.
-    pub fn store_outcome(self, head: AnswerHead, body: Bytes) {
+    /// Stores the outcome of the request; failed tries are repeated for about two minutes.
+    pub async fn store_outcome(self, head: AnswerHead, body: Bytes) {
         let state = if body.len() > MAX_STORED_BODY_BYTES {
             State::Unknown
         } else {
             State::Done(Outcome::new(head, body))
         };
-        tokio::spawn(self.write_state(state));
+        self.write_state(state).await;
     }
 
-    /// Stores in the background that the request may have run.
-    pub fn store_unknown_outcome(self) {
-        tokio::spawn(self.write_state(State::Unknown));
+    /// Stores that the request may have run, with the same tries as [`Self::store_outcome`].
+    pub async fn store_unknown_outcome(self) {
+        self.write_state(State::Unknown).await;
     }
 
     async fn write_state(self, state: State) {
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -308,6 +308,7 @@
         self.store.faults(|faults| match word {
             "down" => faults.down = true,
             "up" => faults.down = false,
+            "slow" => faults.delay = Duration::from_millis(200),
             "lose-answers" => faults.lose_answers = 1,
             "lose-all-answers" => faults.lose_answers = 1_000,
             "lose-writes" => faults.lose_writes = 1,
