--- a/src/departure.rs
+++ b/src/departure.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::id::InstanceId;
 use crate::member::Fleet;
 
@@ -76,3 +78,16 @@
         self.incarnations.get(id) == Some(&incarnation)
     }
 }
+
+/// Waits until the instance gives up what has not ended.
+pub async fn given_up(departure: &watch::Receiver<Departure>) {
+    let mut departure = departure.clone();
+    let is_announced = departure
+        .wait_for(|departure| *departure == Departure::GivesUp)
+        .await
+        .is_ok();
+    if !is_announced {
+        // Nobody can announce the end any more.
+        std::future::pending::<()>().await;
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -96,7 +96,7 @@
 use self::upstream::TargetConnections;
 use self::urgency::ServedShares;
 use crate::clock::Clock;
-use crate::departure::{Departure, LeavingInstances};
+use crate::departure::{Departure, LeavingInstances, given_up};
 use crate::id::{InstanceId, OrganisationId, RegionId, RouteId};
 use crate::in_flight::InFlight;
 use crate::journal;
@@ -179,9 +179,7 @@
 
     /// Waits until this instance gives up the requests that have no answer.
     async fn gives_up(&self) {
-        let mut departure = self.departure.subscribe();
-        let waited = departure.wait_for(|d| *d == Departure::GivesUp).await;
-        drop(waited);
+        given_up(&self.departure.subscribe()).await;
     }
 
     /// Returns whether requests can be served: the instance is not leaving and has loaded the route
