Join only an answer of the same kind to a broken stream

What callers saw: a stream broke off or fell silent, and the next target answered with a 204, 205, 206, an empty 200, or a 200 of another media type or content coding. The stream ended as if it were complete, in some cases with the text of the error in it.

Cause: `answer_body` went on with any success; `attempt::relay` compared the status alone, and took a stream without events for a complete one.

Fix: `target::StreamHead` decides from both heads whether an answer can go on with a stream: same status, media type and content coding, and a body. Both ways of a request ask it. A resumed stream that ends without an event is broken. Why not to trust an empty stream: if only the end of the stream was missing, its caller sees it as broken, but a stream with missing events never looks complete.

--- a/src/attempt/relay.rs
+++ b/src/attempt/relay.rs
@@ -1,6 +1,7 @@
 //! Relays an answer to its caller and resumes a stream on another target if the first target fails.
 
 use bytes::{Bytes, BytesMut};
+use http::StatusCode;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -11,7 +12,7 @@
 use crate::claim::{Claim, MAX_STORED_BODY_BYTES};
 use crate::in_flight::InFlightGuard;
 use crate::refusal::{Code, Refusal};
-use crate::target::EventSplitter;
+use crate::target::{EventSplitter, StreamHead};
 
 /// Maximum number of chunks buffered for a slow caller.
 const MAX_BUFFERED_CHUNKS: usize = 64;
@@ -203,7 +204,7 @@
                 metrics::counter!("limpetstand_resumes_total").increment(1);
                 self.execution.resume(body, tokens);
                 let started = self.execution.start_answer().await?;
-                if started.head.status != self.head.status {
+                if !continues(&self.head, &started.head) || started.first_chunk.is_none() {
                     return Err(refusal);
                 }
                 Ok(Some(started))
@@ -236,6 +237,18 @@
     }
 }
 
+/// Returns whether the answer `next` can go on with a stream that has begun.
+fn continues(begun: &AnswerHead, next: &AnswerHead) -> bool {
+    let head = |head: &AnswerHead| {
+        let status = StatusCode::from_u16(head.status).ok()?;
+        Some(StreamHead::new(status, &head.content_type))
+    };
+    match (head(begun), head(next)) {
+        (Some(begun), Some(next)) => begun.check_next(&next).is_ok(),
+        _ => false,
+    }
+}
+
 fn is_chat(execution: &Execution) -> bool {
     matches!(&execution.call.operation, Operation::Model { path, .. } if path.ends_with("/chat/completions"))
 }
--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -16,7 +16,9 @@
 use super::source::Source;
 use crate::id::TargetId;
 use crate::journal;
-use crate::target::{AnswerProgress, EventSplitter, Framing, Incomplete, event_id};
+use crate::target::{
+    AnswerProgress, EventSplitter, Framing, Incomplete, StreamHead, event_data, event_id,
+};
 
 /// The error that ends an incomplete body; the caller's connection is then closed before the end of
 /// the body.
@@ -34,6 +36,8 @@
     target: TargetId,
     /// The version of the target's software.
     software_version: SmolStr,
+    /// The head that the caller has got.
+    head: StreamHead,
     /// Whether an event of a stream has been passed on to the caller.
     begun: bool,
     /// Splits a resumable stream into events; `None` if bytes are forwarded as received.
@@ -59,6 +63,8 @@
 struct EventReader {
     splitter: EventSplitter,
     last_id: Option<SmolStr>,
+    /// Whether the target that goes on with the stream has sent no event so far.
+    awaits_event: bool,
 }
 
 /// Writes the journal line and the metrics of a request's end when dropped, so that both are
@@ -111,6 +117,7 @@
         source: reply.source,
         target: reply.target,
         software_version: reply.software_version,
+        head: StreamHead::with_headers(reply.status, &reply.headers),
         begun: false,
         last_read: Instant::now(),
         done: false,
@@ -195,6 +202,12 @@
         self.progress.is_event_stream() && events.is_some_and(|e| e.splitter.has_partial_event())
     }
 
+    /// Tells whether the target that goes on with a stream has sent nothing of it.
+    fn awaits_event(&self) -> bool {
+        let events = self.events.as_ref();
+        events.is_some_and(|e| e.awaits_event && !e.splitter.has_partial_event())
+    }
+
     /// Reads from the source until bytes arrive, the answer ends, or it is time to ask another
     /// target.
     async fn read(&mut self) -> Read {
@@ -222,6 +235,7 @@
             }
             Some(Err(why)) => Read::Broken(why),
             None if self.holds_partial_event() => Read::Broken(Incomplete::InsideEvent.to_string()),
+            None if self.awaits_event() => Read::Broken(Incomplete::NoEvent.to_string()),
             None => Read::End,
         }
     }
@@ -316,7 +330,8 @@
         Ok(job)
     }
 
-    /// Goes on with the answer to a resumption; returns whether there is one.
+    /// Goes on with the answer to a resumption; returns whether it can go on with
+    /// the stream.
     fn adopt(
         &mut self,
         job: Job,
@@ -325,18 +340,16 @@
     ) -> bool {
         self.job.attempts = job.attempts;
         let why = match reply {
-            Ok(Ok(reply)) if reply.status.is_success() => {
-                self.job = job;
-                self.source = reply.source;
-                self.target = reply.target;
-                self.software_version = reply.software_version;
-                self.last_read = Instant::now();
-                if let Some(events) = &mut self.events {
-                    events.splitter = EventSplitter::default();
+            Ok(Ok(reply)) => {
+                let next = StreamHead::with_headers(reply.status, &reply.headers);
+                match self.head.check_next(&next) {
+                    Ok(()) => {
+                        self.go_on(job, reply);
+                        return true;
+                    }
+                    Err(e) => e.to_string(),
                 }
-                return true;
             }
-            Ok(Ok(reply)) => format!("another target answered {}", reply.status),
             Ok(Err(failure)) => failure.refusal.message().to_owned(),
             Err(_) => "the deadline passed".to_owned(),
         };
@@ -344,6 +357,19 @@
         false
     }
 
+    /// Goes on with the body of the answer to a resumption.
+    fn go_on(&mut self, job: Job, reply: Reply) {
+        self.job = job;
+        self.source = reply.source;
+        self.target = reply.target;
+        self.software_version = reply.software_version;
+        self.last_read = Instant::now();
+        if let Some(events) = &mut self.events {
+            events.splitter = EventSplitter::default();
+            events.awaits_event = true;
+        }
+    }
+
     fn record_not_resumed(&self, error: &str, why: &str) {
         journal::line("not_resumed")
             .text("request", &self.job.id)
@@ -375,6 +401,9 @@
             if let Some(id) = event_id(&event) {
                 self.last_id = Some(id.into());
             }
+            if !event_data(&event).is_empty() {
+                self.awaits_event = false;
+            }
             complete.extend_from_slice(&event);
         }
         Ok(complete.freeze())
--- a/src/target.rs
+++ b/src/target.rs
@@ -10,6 +10,7 @@
 mod openai;
 mod plain;
 mod sse;
+mod stream_head;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 pub use answer_progress::{AnswerProgress, Incomplete};
 pub use framing::Framing;
 pub use sse::{EventBoundary, EventSplitter, EventTooLong, event_data, event_id, is_done_event};
+pub use stream_head::{NotContinued, StreamHead};
 
 /// The name, region and address of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/target/answer_progress.rs
+++ b/src/target/answer_progress.rs
@@ -85,10 +85,10 @@
     /// Creates the progress of an answer; `stream` says whether the request asks for an event
     /// stream.
     pub fn new(framing: Framing, stream: bool, status: StatusCode, headers: &HeaderMap) -> Self {
-        let media_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-        let content = match media_type {
+        let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+        let content = match content_type {
             _ if !status.is_success() => Content::Opaque,
-            Some(media_type) => content_of(media_type, framing),
+            Some(content_type) => content_of(content_type, framing),
             None if stream && framing == Framing::ConnectionEnd => {
                 Content::Events(EventBoundary::default())
             }
@@ -146,12 +146,16 @@
     }
 }
 
+/// Returns the media type of a content type, in lower case and without parameters.
+pub(super) fn media_type(content_type: &str) -> String {
+    let name = content_type.split(';').next().unwrap_or_default();
+    name.trim().to_ascii_lowercase()
+}
+
 /// Returns what to follow of a body. The content of a JSON text matters only if its framing does not
 /// tell its end.
-fn content_of(media_type: &str, framing: Framing) -> Content {
-    let name = media_type.split(';').next().unwrap_or_default();
-    let name = name.trim().to_ascii_lowercase();
-    match name.as_str() {
+fn content_of(content_type: &str, framing: Framing) -> Content {
+    match media_type(content_type).as_str() {
         EVENT_STREAM => Content::Events(EventBoundary::default()),
         _ if framing != Framing::ConnectionEnd => Content::Opaque,
         JSON => Content::Json(JsonNesting::default()),
--- a/tests/attempt/fakes.rs
+++ b/tests/attempt/fakes.rs
@@ -38,6 +38,12 @@
     /// The target is silent for [`PAUSE`] after so many tokens, and goes on.
     PauseAfter(usize),
     Slow(Duration),
+    /// The target answers with this status and an error as an event.
+    Status(u16),
+    /// The target answers with an error as an event, under another media type.
+    OtherMedia,
+    /// The target answers with a stream without events.
+    Empty,
     /// The connection breaks, the other region is unreachable for the given time, and later
     /// requests are answered.
     CutOff(Duration),
@@ -60,6 +66,9 @@
             "stall" => Self::StallAfter(n),
             "pause" => Self::PauseAfter(n),
             "cut-off" => Self::CutOff(Duration::from_millis(n as u64)),
+            "status" => Self::Status(n as u16),
+            "other-media" => Self::OtherMedia,
+            "empty" => Self::Empty,
             "slow" => Self::Slow(Duration::from_millis(n as u64)),
             _ => panic!("no such behaviour: {text}"),
         }
@@ -186,9 +195,17 @@
             }
             _ => {}
         }
+        let status = match behaviour {
+            Behaviour::Status(status) => status,
+            _ => 200,
+        };
+        let content_type = match behaviour {
+            Behaviour::OtherMedia => "text/other",
+            _ => "test",
+        };
         let head = AnswerHead {
-            status: 200,
-            content_type: "test".into(),
+            status,
+            content_type: content_type.into(),
             target: target.into(),
             region: region.clone(),
         };
@@ -221,6 +238,14 @@
                 () = tx.closed() => return Err(()),
             }
         }
+        if let Behaviour::Status(_) | Behaviour::OtherMedia = behaviour {
+            let event = json!({ "choices": [{ "text": " error" }] });
+            let event = format!("data: {event}\n\n");
+            return tx.send(Ok(event.into())).await.map_err(drop);
+        }
+        if behaviour == Behaviour::Empty {
+            return Ok(());
+        }
         if !request.stream {
             let body = format!("whole {}", request.prompt);
             return tx.send(Ok(body.into())).await.map_err(drop);
