Do not resume a stream after an event without an id

What callers would see: a stream whose last events had no id broke off, and these events came a second time, in a stream that ended as complete.

Cause: a resumption names the last event by its id. Events without one after it, or a stream without ids at all, are not named, so the next target sends them again.

Evidence: `events_without_an_id_do_not_come_twice`; on the old code the stream `data: a` went on with the answer to a request that named no event, and ended as complete. Seen in this test only: targets that follow the platform's protocol number all events of a stream.

Fix: `EventReader` knows whether an event with data and without an id has come since the last id, and such a stream ends as broken. Comments do not count, and a later id covers the events before it.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -63,6 +63,8 @@
 struct EventReader {
     splitter: EventSplitter,
     last_id: Option<SmolStr>,
+    /// Whether an event without an id has come since. A resumption would repeat it.
+    ends_unnamed: bool,
     /// Whether the target that goes on with the stream has sent no event so far.
     awaits_event: bool,
 }
@@ -302,6 +304,9 @@
         let Some(events) = &self.events else {
             return Err("the request cannot be resumed".to_owned());
         };
+        if events.ends_unnamed {
+            return Err("the last event has no id".to_owned());
+        }
         if self.job.attempts_left() == 0 {
             return Err("no attempts are left".to_owned());
         }
@@ -330,8 +335,8 @@
         Ok(job)
     }
 
-    /// Goes on with the answer to a resumption; returns whether it can go on with
-    /// the stream.
+    /// Goes on with the answer to a resumption, if it can go on with the stream; returns whether it
+    /// can.
     fn adopt(
         &mut self,
         job: Job,
@@ -398,12 +403,11 @@
         self.splitter.push(data).map_err(|e| e.to_string())?;
         let mut complete = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = event_id(&event) {
-                self.last_id = Some(id.into());
-            }
-            if !event_data(&event).is_empty() {
-                self.awaits_event = false;
-            }
+            let has_data = !event_data(&event).is_empty();
+            let id = event_id(&event);
+            self.awaits_event &= !has_data;
+            self.ends_unnamed = id.is_none() && (self.ends_unnamed || has_data);
+            self.last_id = id.map(SmolStr::from).or(self.last_id.take());
             complete.extend_from_slice(&event);
         }
         Ok(complete.freeze())
