Answer what has no head yet at the drain limit

`shut_down` returned and the tasks were dropped with the process.

Once the instance gives up (`Departure::GivesUp`), each request is refused wherever it waits: while its body is read, at the charge or before anything has been sent, 503 as not run; once it has begun to go to a target or another instance (`Job::sent`, `may_have_run`), 502 as of unknown outcome. An answer whose head has been passed on breaks as before, visibly. The process still ends within the grace, and the answers have CONNECTION_CLOSE_TIME to go out.

`serve` is split for this into `prepare`, which sends nothing, and the rest.

--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -89,41 +89,114 @@
     software_version: Option<SmolStr>,
 }
 
+/// A request that is ready to be sent to a target.
+struct Prepared {
+    job: Job,
+    charge: Charge,
+    /// The version of the configuration under which the request was admitted.
+    version: u64,
+}
+
 impl CallerHandler {
+    /// Serves a request, or refuses it once the instance gives up what has no answer.
     async fn serve(&self, req: Request<Incoming>, guard: InFlightGuard) -> Response<ResponseBody> {
         let began = Instant::now();
         let (parts, body) = req.into_parts();
         let head = self.0.dialect.read_request(&parts.headers);
+        let prepared = tokio::select! {
+            biased;
+            prepared = self.prepare(parts, body, &head, began) => prepared,
+            () = self.0.gives_up() => {
+                given_up_line(&head, Ran::No);
+                Err(self.refuse(&head, &leaving_refusal(), None, None))
+            }
+        };
+        let Prepared {
+            mut job,
+            charge,
+            version,
+        } = match prepared {
+            Ok(prepared) => prepared,
+            Err(response) => return response,
+        };
+        let deadline = job.deadline;
+        let outcome = tokio::select! {
+            biased;
+            outcome = timeout_at(deadline, self.0.dispatch(&mut job)) => outcome,
+            () = self.0.gives_up() => {
+                let failure = job.given_up();
+                given_up_line(&head, failure.refusal.ran()).ms("time_left_ms", job.time_left());
+                Ok(Err(failure))
+            }
+        };
+        self.record_outcome(&job, &outcome);
+        let reply = match outcome {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(failure)) => {
+                if failure.refusal.ran() == Ran::No {
+                    charge.refund();
+                }
+                return self.refuse(&head, &failure.refusal, Some(version), None);
+            }
+            Err(_) => {
+                let refusal = Refusal::unknown(Code::DeadlineExceeded, "the deadline passed");
+                return self.refuse(&head, &refusal, Some(version), None);
+            }
+        };
+        charge.settle();
+        journal::line("answered")
+            .text("request", &head.id)
+            .text("target", reply.target.as_str())
+            .value("status", reply.status.as_u16())
+            .value("attempts", reply.attempts)
+            .ms("took_ms", began.elapsed());
+        let mut response = Response::new(());
+        *response.status_mut() = reply.status;
+        *response.headers_mut() = reply.headers.clone();
+        let body = StreamBody::new(Box::pin(body_frames(
+            Arc::clone(&self.0),
+            job,
+            reply,
+            began,
+        )));
+        response.extensions_mut().insert(AnswerDeadline(deadline));
+        response.map(|()| GuardedBody::new(guard, body).boxed_unsync())
+    }
+
+    /// Reads a request, admits it and charges it to its organisation.
+    ///
+    /// # Errors
+    ///
+    /// The response to a request that is refused.
+    async fn prepare(
+        &self,
+        parts: http::request::Parts,
+        body: Incoming,
+        head: &RequestHead,
+        began: Instant,
+    ) -> Result<Prepared, Response<ResponseBody>> {
         let Some(table) = self.table().await else {
             let refusal = Refusal::not_run(Code::NotReady, "no configuration is known yet");
-            return self.refuse(&head, &refusal, None, None);
+            return Err(self.refuse(head, &refusal, None, None));
         };
-        let admitted = match self.admit(&table, &parts, &head) {
+        let admitted = match self.admit(&table, &parts, head) {
             Ok(admitted) => admitted,
-            Err(refusal) => return self.refuse(&head, &refusal, Some(table.version), None),
+            Err(refusal) => return Err(self.refuse(head, &refusal, Some(table.version), None)),
         };
+        let refuse =
+            |refusal: Refusal| self.refuse(head, &refusal, Some(table.version), Some(&admitted));
         let mut deadline = began + admitted.route.timeout;
         // A deadline later than any time that can be told is none.
         if let Some(own) = head.deadline.and_then(|wait| began.checked_add(wait)) {
             deadline = deadline.min(own);
         }
-        let body = match read_body(body, &table.limits, deadline).await {
-            Ok(body) => body,
-            Err(refusal) => {
-                return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
-            }
-        };
+        let body = read_body(body, &table.limits, deadline)
+            .await
+            .map_err(refuse)?;
         if !self.takes(deadline) {
-            let refusal = Refusal::not_run(Code::Leaving, "the instance leaves")
-                .retry_after(LEAVING_RETRY_AFTER);
-            return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
+            return Err(refuse(leaving_refusal()));
         }
-        let destination = match self.destination(&admitted, &head).await {
-            Ok(destination) => destination,
-            Err(refusal) => {
-                return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
-            }
-        };
+        let destination = self.destination(&admitted, head).await.map_err(refuse)?;
         let service = destination.service.clone();
         let path = path_of(&parts);
         let organisation = admitted.organisation.as_ref().map(|(o, _)| o);
@@ -136,14 +209,12 @@
             &head.prompt,
         );
         if let Some(refusal) = self.0.quarantine_refusal(&suspects, 0) {
-            return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
+            return Err(refuse(refusal));
         }
-        let charge = match self.charge(&admitted, &head, deadline).await {
-            Ok(charge) => charge,
-            Err(refusal) => {
-                return self.refuse(&head, &refusal, Some(table.version), Some(&admitted));
-            }
-        };
+        let charge = self
+            .charge(&admitted, head, deadline)
+            .await
+            .map_err(refuse)?;
         journal::line("admitted")
             .text("request", &head.id)
             .text("route", admitted.route.name.as_str())
@@ -160,41 +231,13 @@
             .text("charged_to", charge.source())
             .text("resumes", head.resumes.as_deref().unwrap_or(""))
             .text("resume_after", head.resume_after.as_deref().unwrap_or(""));
-        let mut job = self.job(parts, &head, admitted, destination, body, deadline);
+        let mut job = self.job(parts, head, admitted, destination, body, deadline);
         job.suspects = suspects;
-        let outcome = timeout_at(deadline, self.0.dispatch(&mut job)).await;
-        self.record_outcome(&job, &outcome);
-        let reply = match outcome {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(failure)) => {
-                if failure.refusal.ran() == Ran::No {
-                    charge.refund();
-                }
-                return self.refuse(&head, &failure.refusal, Some(table.version), None);
-            }
-            Err(_) => {
-                let refusal = Refusal::unknown(Code::DeadlineExceeded, "the deadline passed");
-                return self.refuse(&head, &refusal, Some(table.version), None);
-            }
-        };
-        charge.settle();
-        journal::line("answered")
-            .text("request", &head.id)
-            .text("target", reply.target.as_str())
-            .value("status", reply.status.as_u16())
-            .value("attempts", reply.attempts)
-            .ms("took_ms", began.elapsed());
-        let mut response = Response::new(());
-        *response.status_mut() = reply.status;
-        *response.headers_mut() = reply.headers.clone();
-        let body = StreamBody::new(Box::pin(body_frames(
-            Arc::clone(&self.0),
+        Ok(Prepared {
             job,
-            reply,
-            began,
-        )));
-        response.extensions_mut().insert(AnswerDeadline(deadline));
-        response.map(|()| GuardedBody::new(guard, body).boxed_unsync())
+            charge,
+            version: table.version,
+        })
     }
 
     /// Tells whether the instance takes a request that has been read.
@@ -467,6 +510,18 @@
     path.map_or("/", |p| p.as_str()).to_owned()
 }
 
+/// Creates the refusal of a request that a leaving instance does not take.
+fn leaving_refusal() -> Refusal {
+    Refusal::not_run(Code::Leaving, "the instance leaves").retry_after(LEAVING_RETRY_AFTER)
+}
+
+/// Begins the journal line of a request that has no answer when the instance gives up.
+fn given_up_line(head: &RequestHead, ran: Ran) -> journal::Line {
+    journal::line("given_up")
+        .text("request", &head.id)
+        .text("ran", ran.as_str())
+}
+
 fn join_region_names(regions: &[RegionId]) -> String {
     let names: Vec<&str> = regions.iter().map(RegionId::as_str).collect();
     names.join(",")
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -1,4 +1,4 @@
-//! Closing of callers' connections at shutdown.
+//! Which requests an instance takes at shutdown, and how it closes callers' connections.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -6,6 +6,7 @@
 
 use axum::Router;
 use axum::routing::any;
+use limpetstand::departure::Departure;
 use limpetstand::front::serve;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -23,6 +24,9 @@
 
 const REQUEST: &[u8] = b"GET /short HTTP/1.1\r\nhost: x\r\n\r\n";
 
+/// The time at which an instance gives up what has no answer.
+const DRAINED_AT: Duration = Duration::from_secs(100);
+
 struct Server {
     address: SocketAddr,
     stop: watch::Sender<bool>,
@@ -80,6 +84,34 @@
     opened.await.expect("connections")
 }
 
+#[test]
+fn requests_that_outlast_a_stop_are_taken_only_while_callers_do_not_know_of_it() {
+    let now = Duration::from_secs(95);
+    let (fits, too_long) = (
+        DRAINED_AT - now,
+        DRAINED_AT - now + Duration::from_millis(1),
+    );
+    let leaving = Departure::Leaving {
+        drained_at: DRAINED_AT,
+    };
+    let closed = Departure::Closed {
+        drained_at: DRAINED_AT,
+    };
+    for (departure, time_left, takes, outlasts) in [
+        (Departure::NotLeaving, too_long, true, true),
+        (leaving, fits, true, true),
+        (leaving, too_long, true, false),
+        (closed, fits, true, true),
+        (closed, too_long, false, false),
+        (Departure::GivesUp, Duration::ZERO, false, false),
+    ] {
+        let taken = departure.takes(now, time_left);
+        assert_eq!(taken, takes, "{departure:?}, {time_left:?}");
+        let kept = departure.outlasts(now, time_left);
+        assert_eq!(kept, outlasts, "{departure:?}, {time_left:?}");
+    }
+}
+
 #[tokio::test]
 async fn shutdown_after_a_standstill_answers_requests_that_lie_unread() {
     let server = start().await;
