Do not pass on events that a resumption repeats

What callers would see: a stream broke off or fell silent, and the next target paid no heed to the event after which it was to go on. Events came twice, in a stream that ended as complete.

Cause: nothing compared the first event of the next target with the last one that the caller has got.

Seen with stand-ins only.

Fix: `target::may_follow` decides from both ids; a first event that does not follow breaks the stream again. The numbers of events increase; other ids are only compared for being the same. A silent target that was left for such an answer does not come back: the stream ends as broken.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -18,6 +18,7 @@
 use crate::journal;
 use crate::target::{
     AnswerProgress, EventSplitter, Framing, Incomplete, StreamHead, event_data, event_id,
+    may_follow,
 };
 
 /// The error that ends an incomplete body; the caller's connection is then closed before the end of
@@ -405,6 +406,12 @@
         while let Some(event) = self.splitter.next_event() {
             let has_data = !event_data(&event).is_empty();
             let id = event_id(&event);
+            if self.awaits_event
+                && let (Some(last), Some(id)) = (&self.last_id, id)
+                && !may_follow(last, id)
+            {
+                return Err(format!("another target sent event {id} after event {last}"));
+            }
             self.awaits_event &= !has_data;
             self.ends_unnamed = id.is_none() && (self.ends_unnamed || has_data);
             self.last_id = id.map(SmolStr::from).or(self.last_id.take());
--- a/src/target.rs
+++ b/src/target.rs
@@ -22,7 +22,9 @@
 
 pub use answer_progress::{AnswerProgress, Incomplete};
 pub use framing::Framing;
-pub use sse::{EventBoundary, EventSplitter, EventTooLong, event_data, event_id, is_done_event};
+pub use sse::{
+    EventBoundary, EventSplitter, EventTooLong, event_data, event_id, is_done_event, may_follow,
+};
 pub use stream_head::{NotContinued, StreamHead};
 
 /// The name, region and address of a target.
--- a/src/target/sse.rs
+++ b/src/target/sse.rs
@@ -144,6 +144,15 @@
     None
 }
 
+/// Tells whether an event with the id `next` may follow one with the id `last`. Ids that are numbers
+/// increase; other ids differ.
+pub fn may_follow(last: &str, next: &str) -> bool {
+    match (last.parse::<u64>(), next.parse::<u64>()) {
+        (Ok(last), Ok(next)) => next > last,
+        _ => next != last,
+    }
+}
+
 /// Returns whether an event ends an OpenAI stream.
 pub fn is_done_event(event: &[u8]) -> bool {
     event_data(event) == DONE
--- a/tests/stream_head.rs
+++ b/tests/stream_head.rs
@@ -1,7 +1,7 @@
 //! Which answer of another target can go on with a stream that broke off.
 
 use http::{HeaderMap, HeaderValue, StatusCode};
-use limpetstand::target::{NotContinued, StreamHead};
+use limpetstand::target::{NotContinued, StreamHead, may_follow};
 
 const EVENTS: &str = "text/event-stream";
 
@@ -54,3 +54,18 @@
     let expected = Err(NotContinued::MediaType(EVENTS.to_owned()));
     assert_eq!(begun.check_next(&next), expected);
 }
+
+#[test]
+fn an_event_follows_only_one_of_an_earlier_id() {
+    for (last, next, follows) in [
+        ("9", "10", true),
+        ("10", "9", false),
+        ("10", "10", false),
+        ("10", "010", false),
+        ("a", "b", true),
+        ("a", "a", false),
+        ("10", "a", true),
+    ] {
+        assert_eq!(may_follow(last, next), follows, "{last}, {next}");
+    }
+}
