A leaving instance tells every other one itself

Cause: a leaving instance told four instances of its region and one of each other one. The rest had the news from heartbeats, 400 bytes each, where it shares the place with all starts, ends and refutations of a series, and from instances that restarted themselves; what was missed waited for a comparison of tables, which is rarer while tables change.

Now it tells every other instance in a heartbeat, its own region first, each once, as many at a time as may be in flight (16); an answer or a missing one makes place for the next. Builds of before read it as any heartbeat, and heartbeats of others carry the news as before. A list that marks the instance as leaving has the same effect.

--- a/src/member/schedule.rs
+++ b/src/member/schedule.rs
@@ -66,6 +66,19 @@
     }
 }
 
+/// Returns all other instances that are not dead in random order, those of this region last.
+pub fn everyone(table: &Table, rng: &mut dyn RngCore) -> Vec<MemberKey> {
+    let mut order = Vec::with_capacity(table.len());
+    for (key, row) in table.iter() {
+        if key == table.own() || row.status.liveness == Liveness::Dead {
+            continue;
+        }
+        order.push((is_neighbour(table, row), rng.random::<u32>(), key));
+    }
+    order.sort_unstable();
+    order.into_iter().map(|(.., key)| key).collect()
+}
+
 /// Chooses at random one of the other instances for which `accepts` returns true and to which no
 /// message is in flight.
 pub fn random(
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -39,9 +39,6 @@
 /// Time for which a dead instance that is not listed stays in the table.
 pub const DEAD_RETENTION: Duration = Duration::from_secs(60);
 
-/// Number of instances of its own region to which a leaving instance sends a heartbeat at once.
-const LEAVE_NOTICES: usize = 4;
-
 /// A message to send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
@@ -98,6 +95,7 @@
     drains: Drains,
     gossip: Gossip<InstanceId>,
     probes: BTreeMap<MemberKey, IndirectProbe>,
+    uninformed: Vec<MemberKey>,
     listing: Listing,
     list_read_at: Option<Duration>,
     last_list_fetch: Option<Duration>,
@@ -133,6 +131,7 @@
             drains: Drains::default(),
             gossip: Gossip::default(),
             probes: BTreeMap::new(),
+            uninformed: Vec::new(),
             listing: Listing::default(),
             list_read_at: None,
             last_list_fetch: None,
@@ -202,7 +201,7 @@
         for listed in &listing.instances {
             listed_ids.insert(listed.id.clone());
             if listed.id == self.table.own_row().id {
-                self.own_listed(now, listed.state);
+                self.own_listed(now, rng, listed.state);
                 continue;
             }
             if let Some(key) = self.table.apply_listed(now, listed) {
@@ -215,22 +214,12 @@
         self.listing = listing;
     }
 
-    /// Announces that this instance leaves; the actions send the announcement to other instances.
+    /// Announces that this instance leaves; the actions tell the first of the other instances, and
+    /// those of [`View::on_answer`], [`View::on_no_answer`] and [`View::tick`] the rest.
     pub fn leave(&mut self, now: Duration, rng: &mut dyn RngCore) -> Vec<Action> {
         self.advance_clock(now);
-        self.announce_leaving(now);
-        let mut actions = Vec::new();
-        for _ in 0..LEAVE_NOTICES {
-            let to = schedule::random(&self.table, rng, |r| {
-                schedule::is_neighbour(&self.table, r) && r.status.liveness == Liveness::Up
-            });
-            actions.extend(to.and_then(|to| self.heartbeat_action(now, to)));
-        }
-        for region in self.other_regions() {
-            let to = schedule::in_region(&self.table, rng, &region);
-            actions.extend(to.and_then(|to| self.heartbeat_action(now, to)));
-        }
-        actions
+        self.announce_leaving(now, rng);
+        self.announce_to_uninformed(now)
     }
 
     /// Handles timeouts and returns the messages that are due; called every [`HEARTBEAT_PERIOD`].
@@ -240,7 +229,7 @@
         self.remove_stale(now);
         self.update_isolated(now);
         self.changed |= self.drains.expire(now);
-        let mut actions = Vec::new();
+        let mut actions = self.announce_to_uninformed(now);
         let next = self.schedule.next(&self.table, rng);
         actions.extend(next.and_then(|to| self.heartbeat_action(now, to)));
         for region in self.other_regions() {
@@ -279,12 +268,13 @@
         self.record_answer(now);
         self.end_request(to);
         self.apply_heartbeat(now, rng, heartbeat);
+        let mut actions = self.announce_to_uninformed(now);
         let Some(row) = self.table.row(to) else {
-            return Vec::new();
+            return actions;
         };
         if row.id != heartbeat.from.id {
             self.suspect(now, to, row.status);
-            return Vec::new();
+            return actions;
         }
         let address = row.card.peer;
         let region = row.card.region.clone();
@@ -295,7 +285,8 @@
             self.last_compare = None;
             self.differing_peer = Some(to);
         }
-        self.fetch_list(now, address, heartbeat.list_age)
+        actions.extend(self.fetch_list(now, address, heartbeat.list_age));
+        actions
     }
 
     /// Handles a missing answer to the heartbeat sent at `sent`; the actions ask other instances to
@@ -309,8 +300,9 @@
     ) -> Vec<Action> {
         self.advance_clock(now);
         self.end_request(to);
+        let mut actions = self.announce_to_uninformed(now);
         let Some(row) = self.table.row(to) else {
-            return Vec::new();
+            return actions;
         };
         let status = row.status;
         let needs_probe = schedule::is_neighbour(&self.table, row)
@@ -318,19 +310,11 @@
             && sent >= self.resumed_at
             && !self.probes.contains_key(&to);
         if !needs_probe {
-            return Vec::new();
+            return actions;
         }
         let id = row.id.clone();
-        let mut actions = Vec::new();
-        for prober in self.probers(rng, to) {
-            actions.push(Action::ProbeVia {
-                prober,
-                subject: to,
-                id: id.clone(),
-                timeout: REMOTE_TIMEOUT,
-            });
-        }
-        if actions.is_empty() {
+        let probers = self.probers(rng, to);
+        if probers.is_empty() {
             self.suspect(now, to, status);
             return actions;
         }
@@ -338,7 +322,15 @@
             row.in_flight += 1;
         }
         self.probes
-            .insert(to, IndirectProbe::of(status, actions.len()));
+            .insert(to, IndirectProbe::of(status, probers.len()));
+        for prober in probers {
+            actions.push(Action::ProbeVia {
+                prober,
+                subject: to,
+                id: id.clone(),
+                timeout: REMOTE_TIMEOUT,
+            });
+        }
         actions
     }
 
--- a/src/member/view/receive.rs
+++ b/src/member/view/receive.rs
@@ -129,7 +129,7 @@
         self.announce(now, announcement);
     }
 
-    pub(super) fn announce_leaving(&mut self, now: Duration) {
+    pub(super) fn announce_leaving(&mut self, now: Duration, rng: &mut dyn RngCore) {
         let mut announcement = self.table.own_row().status.announcement;
         if announcement.leaving {
             return;
@@ -137,6 +137,7 @@
         announcement.leaving = true;
         announcement.refutation = announcement.refutation.saturating_add(1);
         self.announce(now, announcement);
+        self.uninformed = schedule::everyone(&self.table, rng);
     }
 
     pub(super) fn announce(&mut self, now: Duration, announcement: Announcement) {
@@ -153,13 +154,13 @@
         self.changed = true;
     }
 
-    pub(super) fn own_listed(&mut self, now: Duration, state: ServiceState) {
+    pub(super) fn own_listed(&mut self, now: Duration, rng: &mut dyn RngCore, state: ServiceState) {
         if state == ServiceState::Live {
             self.own_listed_live = true;
             return;
         }
         if self.own_listed_live || now >= ACCEPT_OWN_LEAVING_MARK_AFTER {
-            self.announce_leaving(now);
+            self.announce_leaving(now, rng);
         }
     }
 
--- a/src/member/view/send.rs
+++ b/src/member/view/send.rs
@@ -10,8 +10,8 @@
 use crate::id::RegionId;
 use crate::member::Health;
 use crate::member::schedule::{self};
-use crate::member::status::{Delta, Heartbeat, Liveness};
-use crate::member::table::MemberKey;
+use crate::member::status::{Heartbeat, Liveness};
+use crate::member::table::{MemberKey, Row};
 
 /// Heartbeats per second that all instances of a region together send to each other region.
 const CROSS_REGION_HEARTBEATS_PER_SECOND: f64 = 3.0;
@@ -75,6 +75,19 @@
         })
     }
 
+    /// Sends a heartbeat to instances that this leaving instance has not told yet that it leaves, as
+    /// many as may be in flight.
+    pub(super) fn announce_to_uninformed(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.in_flight < MAX_IN_FLIGHT {
+            let Some(to) = self.uninformed.pop() else {
+                break;
+            };
+            actions.extend(self.heartbeat_action(now, to));
+        }
+        actions
+    }
+
     /// Builds a heartbeat. If the receiver is not live in this view, the receiver's status comes
     /// first in the heartbeat, so that the receiver can refute the status.
     pub(super) fn build_heartbeat(&mut self, now: Duration, to: Option<MemberKey>) -> Heartbeat {
@@ -94,7 +107,7 @@
             if cut_off && row.status.liveness != Liveness::Up {
                 return None;
             }
-            Some(encoded_bytes(&table.delta(table.find(id)?)?))
+            Some(encoded_bytes(row))
         });
         for id in ids {
             let delta = self.table.find(&id).and_then(|key| self.table.delta(key));
@@ -233,10 +246,11 @@
     }
 }
 
-fn encoded_bytes(delta: &Delta) -> usize {
-    let mut bytes = DELTA_FIXED_BYTES + delta.id.as_str().len();
-    if let Some(card) = &delta.card {
-        bytes += CARD_FIXED_BYTES + card.region.as_str().len() + card.data_centre.len();
+/// Returns the size of the delta that describes a row of another instance.
+fn encoded_bytes(row: &Row) -> usize {
+    let mut bytes = DELTA_FIXED_BYTES + row.id.as_str().len();
+    if row.status.liveness == Liveness::Up {
+        bytes += CARD_FIXED_BYTES + row.card.region.as_str().len() + row.card.data_centre.len();
     }
     bytes
 }
--- a/tests/member/net.rs
+++ b/tests/member/net.rs
@@ -1,6 +1,7 @@
 //! A simulated network of views in virtual time, with delays, loss, duplicates and partitions.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use limpetstand::id::InstanceId;
@@ -24,7 +25,7 @@
 pub(crate) struct Node {
     pub(crate) view: View,
     rng: SmallRng,
-    started_at: Duration,
+    pub(crate) started_at: Duration,
     next_tick: Duration,
     next_list: Duration,
     pub(crate) running: bool,
@@ -64,9 +65,21 @@
     outer: u64,
 }
 
+impl Node {
+    fn next_timer(&self) -> Duration {
+        self.next_tick.min(self.next_list)
+    }
+
+    fn is_due(&self, at: Duration) -> bool {
+        self.running && !self.frozen && self.next_timer() == at
+    }
+}
+
 pub(crate) struct Net {
     pub(crate) now: Duration,
     pub(crate) nodes: BTreeMap<String, Node>,
+    names: BTreeMap<SocketAddr, String>,
+    timer: Option<(Duration, String)>,
     pub(crate) listing: Listing,
     pub(crate) list_down: BTreeSet<String>,
     pub(crate) loss: f64,
@@ -89,6 +102,8 @@
         Self {
             now: Duration::ZERO,
             nodes: BTreeMap::new(),
+            names: BTreeMap::new(),
+            timer: None,
             listing: Listing::default(),
             list_down: BTreeSet::new(),
             loss: 0.0,
@@ -123,6 +138,10 @@
             seen_leaving: BTreeSet::new(),
             seen: BTreeMap::new(),
         };
+        self.timer = None;
+        let address = card(name).peer;
+        let other = self.names.insert(address, name.to_owned());
+        assert!(other.is_none_or(|other| other == name), "{address} twice");
         self.nodes.insert(name.to_owned(), node);
     }
 
@@ -157,6 +176,7 @@
     }
 
     pub(crate) fn thaw(&mut self, name: &str) {
+        self.timer = None;
         self.nodes.get_mut(name).expect("present").frozen = false;
         let (freed, held) = std::mem::take(&mut self.held)
             .into_iter()
@@ -184,18 +204,20 @@
     }
 
     pub(crate) fn run(&mut self, time: Duration) {
+        self.advance(time);
+        self.check();
+    }
+
+    /// Lets time pass without checking the invariants.
+    pub(crate) fn advance(&mut self, time: Duration) {
         let end = self.now + time;
         while self.step(end) {}
         self.now = end;
-        self.check();
     }
 
     fn step(&mut self, end: Duration) -> bool {
         let event = self.events.keys().next().map(|k| k.0);
-        let due = self
-            .running()
-            .map(|(name, n)| (n.next_tick.min(n.next_list), name.clone()))
-            .min();
+        let due = self.next_timer();
         let event_first = event.is_some_and(|e| due.as_ref().is_none_or(|(t, _)| e <= *t));
         let at = if event_first {
             event
@@ -215,14 +237,27 @@
         true
     }
 
+    /// Returns the instance whose timer is due next. Only timers, starts and stops change it, so
+    /// that messages need not look at all instances.
+    fn next_timer(&mut self) -> Option<(Duration, String)> {
+        if let Some((at, name)) = &self.timer
+            && self.nodes[name].is_due(*at)
+        {
+            return self.timer.clone();
+        }
+        let due = self.running().map(|(name, n)| (n.next_timer(), name));
+        self.timer = due.min().map(|(at, name)| (at, name.clone()));
+        self.timer.clone()
+    }
+
     fn run_timers(&mut self, name: &str) {
-        let listing = (!self.list_down.contains(name)).then(|| self.listing.clone());
         let now = self.now;
         let node = self.nodes.get_mut(name).expect("present");
         let local = now - node.started_at;
         if node.next_list <= now {
             node.next_list = now + Duration::from_secs(1);
-            if let Some(listing) = listing {
+            if !self.list_down.contains(name) {
+                let listing = self.listing.clone();
                 node.view
                     .apply_list(local, &mut node.rng, listing, Duration::ZERO);
             }
@@ -285,9 +320,8 @@
         }
     }
 
-    fn name_at(&self, at: std::net::SocketAddr) -> String {
-        let found = self.nodes.keys().find(|n| card(n).peer == at);
-        found.cloned().unwrap_or_default()
+    fn name_at(&self, at: SocketAddr) -> String {
+        self.names.get(&at).cloned().unwrap_or_default()
     }
 
     fn call(&mut self, from: &str, to: &str, request: &Request, timeout: Duration) -> u64 {
@@ -535,7 +569,7 @@
     }
 }
 
-fn incarnation(view: &View) -> u64 {
+pub(crate) fn incarnation(view: &View) -> u64 {
     view.table().own_row().status.announcement.incarnation
 }
 
