Publish at once that an instance is no longer live

Now the view says when an instance that was live no longer is, after a heartbeat, an answer, a probe or a comparison of tables, and the fleet is published then. Starts and other news wait for the tick as before.

The new test in tests/leave_news.rs tells a membership that another instance leaves and looks at its fleet without letting time pass: on the code before, the other one is live there still. Messages and bytes are the same.

--- a/src/member/actor.rs
+++ b/src/member/actor.rs
@@ -133,6 +133,14 @@
         });
     }
 
+    /// Publishes the fleet at once if an instance is no longer live; other changes wait for the next
+    /// tick.
+    fn publish_losses(&mut self) {
+        if self.args.view.has_lost_live() {
+            self.publish();
+        }
+    }
+
     fn run(&self, actions: Vec<Action>) {
         let Some(peers) = &self.args.peers else {
             return;
@@ -202,7 +210,9 @@
     ) -> HeartbeatReply {
         let now = self.now();
         let ActorArgs { view, rng, .. } = &mut self.args;
-        HeartbeatReply(view.on_heartbeat(now, rng, &msg.0))
+        let answer = view.on_heartbeat(now, rng, &msg.0);
+        self.publish_losses();
+        HeartbeatReply(answer)
     }
 }
 
@@ -214,6 +224,7 @@
         let ActorArgs { view, rng, .. } = &mut self.args;
         let actions = view.on_answer(now, rng, msg.0, &msg.1);
         self.run(actions);
+        self.publish_losses();
     }
 }
 
@@ -225,6 +236,7 @@
         let ActorArgs { view, rng, .. } = &mut self.args;
         let actions = view.on_no_answer(now, rng, msg.0, msg.1);
         self.run(actions);
+        self.publish_losses();
     }
 }
 
@@ -234,6 +246,7 @@
     async fn handle(&mut self, msg: ProbeCompleted, _: &mut Context<Self, ()>) {
         let now = self.now();
         self.args.view.on_probe_result(now, msg.0, msg.1);
+        self.publish_losses();
     }
 }
 
@@ -281,6 +294,7 @@
             Some(difference) => view.on_difference(now, rng, msg.0, &difference),
             None => view.on_compare_failure(now, msg.0),
         }
+        self.publish_losses();
     }
 }
 
--- a/src/member/view.rs
+++ b/src/member/view.rs
@@ -111,6 +111,7 @@
     digest_changed_at: Duration,
     digest: u64,
     changed: bool,
+    lost_live: bool,
 }
 
 impl View {
@@ -147,6 +148,7 @@
             digest_changed_at: Duration::ZERO,
             digest: 0,
             changed: true,
+            lost_live: false,
         }
     }
 
@@ -165,8 +167,15 @@
         &self.isolated
     }
 
+    /// Returns whether an instance that was live no longer is since the last call of
+    /// [`View::take_changed`]; requests are sent to it until the fleet is published.
+    pub fn has_lost_live(&self) -> bool {
+        self.lost_live
+    }
+
     /// Returns whether the fleet may have changed since the last call, and resets the flag.
     pub fn take_changed(&mut self) -> bool {
+        self.lost_live = false;
         std::mem::take(&mut self.changed)
     }
 
--- a/src/member/view/failure.rs
+++ b/src/member/view/failure.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{DEAD_RETENTION, SUSPICION_TIMEOUT, View};
+use crate::member::Health;
 use crate::member::schedule::{self};
 use crate::member::status::{Liveness, Status};
 use crate::member::table::MemberKey;
@@ -53,8 +54,15 @@
             return;
         }
         self.gossip.add(row.id.clone());
+        let was_live = self.is_live(key);
         self.table.set_status(now, key, status);
         self.changed = true;
+        self.lost_live |= was_live && !self.is_live(key);
+    }
+
+    pub(super) fn is_live(&self, key: MemberKey) -> bool {
+        let row = self.table.row(key);
+        row.is_some_and(|r| r.health() == Health::Live)
     }
 
     pub(super) fn suspects(&self) -> Vec<MemberKey> {
--- a/src/member/view/receive.rs
+++ b/src/member/view/receive.rs
@@ -92,9 +92,14 @@
         if is_third_party && self.table.find(&delta.id).is_none() {
             return;
         }
+        let known = self.table.find(&delta.id);
+        let was_live = known.is_some_and(|key| self.is_live(key));
         match self.table.merge(now, delta) {
             Merged::Added(key) => self.added(now, key, rng),
-            Merged::Updated(_) => self.changed = true,
+            Merged::Updated(key) => {
+                self.changed = true;
+                self.lost_live |= was_live && !self.is_live(key);
+            }
             Merged::Unchanged => return,
         }
         self.gossip.add(delta.id.clone());
--- a/tests/leave_news.rs
+++ b/tests/leave_news.rs
@@ -6,10 +6,16 @@
 mod net;
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
-use limpetstand::member::Health;
-use limpetstand::platform::ServiceState;
+use async_trait::async_trait;
+use limpetstand::member::status::{Announcement, Delta, Heartbeat, Liveness, Status};
+use limpetstand::member::view::HEARTBEAT_PERIOD;
+use limpetstand::member::wire::Request;
+use limpetstand::member::{self, Health, Member, Membership};
+use limpetstand::peer::encode;
+use limpetstand::platform::{InstanceList, Listing, PlatformError, ServiceState};
 use net::{Net, incarnation};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -220,3 +226,70 @@
         times.len()
     )
 }
+
+/// A list that cannot be read.
+struct NoList;
+
+#[async_trait]
+impl InstanceList for NoList {
+    async fn read(&self) -> Result<Listing, PlatformError> {
+        Err(PlatformError("no list".to_owned()))
+    }
+}
+
+fn member(name: &str) -> Member {
+    let card = net::card(name);
+    Member {
+        id: name.into(),
+        incarnation: 1,
+        front: card.front,
+        peer: card.peer,
+        region: card.region,
+        data_centre: card.data_centre,
+        health: Health::Live,
+    }
+}
+
+/// Has `to` hear from the instance `name` itself whether it leaves.
+async fn tell(to: &Membership, name: &str, leaving: bool) {
+    let announcement = Announcement {
+        incarnation: 1,
+        refutation: u32::from(leaving),
+        leaving,
+    };
+    let heartbeat = Heartbeat {
+        from: Delta {
+            id: name.into(),
+            status: Status {
+                announcement,
+                liveness: Liveness::Up,
+            },
+            card: Some(net::card(name)),
+        },
+        digest: 0,
+        list_age: None,
+        contacts: Vec::new(),
+        deltas: Vec::new(),
+        drains: Vec::new(),
+    };
+    let request = Request::Beat(Box::new((&heartbeat).into()));
+    let body = encode(&request).unwrap();
+    to.handler().answer(body).await.unwrap();
+}
+
+fn health(of: &Membership, name: &str) -> Option<Health> {
+    let fleet = of.fleet().borrow().clone();
+    let found = fleet.members.iter().find(|m| m.id.as_str() == name);
+    found.map(|m| m.health)
+}
+
+/// Requests were relayed to a leaving instance until the tick that published the fleet.
+#[tokio::test(start_paused = true)]
+async fn a_leave_that_is_heard_does_not_wait_for_a_tick() {
+    let hearer = member::builder(member("erie1"), Arc::new(NoList)).start();
+    tell(&hearer, "erie2", false).await;
+    tokio::time::sleep(2 * HEARTBEAT_PERIOD).await;
+    assert_eq!(health(&hearer, "erie2"), Some(Health::Live));
+    tell(&hearer, "erie2", true).await;
+    assert_eq!(health(&hearer, "erie2"), Some(Health::Leaving));
+}
