--- a/src/member/view/receive.rs
+++ b/src/member/view/receive.rs
@@ -92,9 +92,14 @@
         if is_third_party && self.table.find(&delta.id).is_none() {
             return;
         }
+        let known = self.table.find(&delta.id);
+        let was_live = known.is_some_and(|key| self.is_live(key));
         match self.table.merge(now, delta) {
             Merged::Added(key) => self.added(now, key, rng),
-            Merged::Updated(_) => self.changed = true,
+            Merged::Updated(key) => {
+                self.changed = true;
+                self.lost_live |= was_live && !self.is_live(key);
+            }
             Merged::Unchanged => return,
         }
         self.gossip.add(delta.id.clone());
@@ -129,7 +134,7 @@
         self.announce(now, announcement);
     }
 
-    pub(super) fn announce_leaving(&mut self, now: Duration) {
+    pub(super) fn announce_leaving(&mut self, now: Duration, rng: &mut dyn RngCore) {
         let mut announcement = self.table.own_row().status.announcement;
         if announcement.leaving {
             return;
@@ -137,6 +142,7 @@
         announcement.leaving = true;
         announcement.refutation = announcement.refutation.saturating_add(1);
         self.announce(now, announcement);
+        self.uninformed = schedule::everyone(&self.table, rng);
     }
 
     pub(super) fn announce(&mut self, now: Duration, announcement: Announcement) {
@@ -153,13 +159,13 @@
         self.changed = true;
     }
 
-    pub(super) fn own_listed(&mut self, now: Duration, state: ServiceState) {
+    pub(super) fn own_listed(&mut self, now: Duration, rng: &mut dyn RngCore, state: ServiceState) {
         if state == ServiceState::Live {
             self.own_listed_live = true;
             return;
         }
         if self.own_listed_live || now >= ACCEPT_OWN_LEAVING_MARK_AFTER {
-            self.announce_leaving(now);
+            self.announce_leaving(now, rng);
         }
     }
 
