Close the server for other instances so that senders know what was handled

At the end of a stop the server for other instances dropped its connections with all streams: a sender read a broken pipe, could not tell whether its message had been handled, and refused a request as unknown that had never been read.

The server now sends a GOAWAY (h2 graceful shutdown), handles what still comes in, and ends after 200 ms at most. A sender takes a stream that was refused (REFUSED_STREAM) or lies above the last one of a GOAWAY without an error for not reached, for messages, relays and forwards, and no other.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use super::callers::{CallerHandler, ResponseBody, full_body};
@@ -122,6 +123,7 @@
     metrics: PrometheusHandle,
     withdraw_tx: watch::Sender<bool>,
     stop_peers_tx: watch::Sender<bool>,
+    peer_server: JoinHandle<()>,
 }
 
 fn start(
@@ -249,7 +251,7 @@
         server = server.with_handler(handler);
     }
     let (stop_peers_tx, peers_stopped) = watch::channel(false);
-    tokio::spawn(server.serve(listener, peers_stopped));
+    let peer_server = tokio::spawn(server.serve(listener, peers_stopped));
     let (withdraw_tx, withdrawn) = watch::channel(false);
     tokio::spawn(keep_registered(own, Arc::clone(&services.store), withdrawn));
     tokio::spawn(ask_for_loads(Arc::clone(&gateway)));
@@ -261,6 +263,7 @@
         metrics: services.metrics,
         withdraw_tx,
         stop_peers_tx,
+        peer_server,
     })
 }
 
@@ -296,9 +299,11 @@
                 break;
             }
         }
-        // Other instances reclaim shares that are not given up in time.
-        let _ = timeout(LIMIT_RELEASE_TIMEOUT, self.limiter.leave()).await;
         self.stop_peers_tx.send_replace(true);
+        // Other instances reclaim shares that are not given up in time.
+        let released = timeout(LIMIT_RELEASE_TIMEOUT, self.limiter.leave());
+        // The server bounds the time in which it closes its connections.
+        let _ = tokio::join!(released, self.peer_server);
     }
 }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -8,9 +8,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use h2::client::SendRequest;
-use h2::{Ping, PingPong, RecvStream, SendStream};
-use http::{Method, Request, StatusCode};
+use h2::client::{ResponseFuture, SendRequest};
+use h2::{Ping, PingPong, Reason, RecvStream, SendStream};
+use http::{Method, Request, Response, StatusCode};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -108,7 +108,7 @@
 
 /// A stream whose request head has been sent.
 struct OpenStream {
-    response: h2::client::ResponseFuture,
+    response: ResponseFuture,
     body: SendStream<Bytes>,
     in_flight: InFlightGuard,
 }
@@ -385,10 +385,7 @@
         body: mut sender,
         in_flight,
     } = stream;
-    send_all(&mut sender, message, true).await?;
-    let response = response
-        .await
-        .map_err(|e| PeerError::ResponseLost(e.to_string()))?;
+    let response = response_to(&mut sender, response, message).await?;
     if !response.status().is_success() {
         return Err(PeerError::Refused(format!("status {}", response.status())));
     }
@@ -407,6 +404,31 @@
     })
 }
 
+/// Sends the message of a stream and waits for the head of the response.
+async fn response_to(
+    sender: &mut SendStream<Bytes>,
+    response: ResponseFuture,
+    message: Bytes,
+) -> Result<Response<RecvStream>, PeerError> {
+    let sent = send_all(sender, message, true).await;
+    // If the stream was closed, the response says why.
+    match response.await {
+        Ok(response) => sent.map(|()| response),
+        Err(e) if is_not_handled(&e) => Err(PeerError::NotReached(e.to_string())),
+        Err(e) => Err(PeerError::ResponseLost(e.to_string())),
+    }
+}
+
+/// Tells whether a peer states that it has not handled a stream (RFC 9113, section 8.7): it refused
+/// the stream, or named an earlier one as the last when it closed the connection.
+fn is_not_handled(e: &h2::Error) -> bool {
+    if !e.is_remote() {
+        return false;
+    }
+    (e.is_reset() && e.reason() == Some(Reason::REFUSED_STREAM))
+        || (e.is_go_away() && e.reason() == Some(Reason::NO_ERROR))
+}
+
 async fn exchange_message(
     stream: OpenStream,
     kind: &'static str,
@@ -417,10 +439,7 @@
         body: mut sender,
         in_flight,
     } = stream;
-    send_all(&mut sender, body, true).await?;
-    let response = response
-        .await
-        .map_err(|e| PeerError::ResponseLost(e.to_string()))?;
+    let response = response_to(&mut sender, response, body).await?;
     let status = response.status();
     let answer = read_all(&mut response.into_body()).await?;
     drop(in_flight);
@@ -439,12 +458,11 @@
         body: mut sender,
         in_flight,
     } = stream;
-    send_all(&mut sender, body, true)
-        .await
-        .map_err(answer_lost)?;
-    let response = response
-        .await
-        .map_err(|e| answer_lost(PeerError::ResponseLost(e.to_string())))?;
+    let response = match response_to(&mut sender, response, body).await {
+        Ok(response) => response,
+        Err(e @ PeerError::NotReached(_)) => return Err(not_forwarded(e)),
+        Err(e) => return Err(answer_lost(e)),
+    };
     if !response.status().is_success() {
         let message = format!(
             "the instance of the other region rejected the request: status {}",
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::server::SendResponse;
+use h2::server::{Connection, SendResponse};
 use h2::{Ping, PingPong, RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::accept::accept;
@@ -35,6 +36,12 @@
 /// Timeout after which a connection with an unanswered ping is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for the streams of a connection to end after its peer has been told that the connection
+/// closes.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+type AcceptedStream = Result<(Request<RecvStream>, SendResponse<Bytes>), h2::Error>;
+
 /// Serves streams from other instances with the registered handlers.
 pub struct PeerServer {
     control_handlers: HashMap<&'static str, Arc<dyn PeerHandler>>,
@@ -74,12 +81,16 @@
         self
     }
 
-    /// Serves connections until `stop` changes or its sender is dropped.
+    /// Serves connections until `stop` changes or its sender is dropped, then closes them.
     pub async fn serve(self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
         let server = Arc::new(self);
+        let mut connections = JoinSet::new();
         while let Some(stream) = accept(&listener, &mut stop).await {
-            tokio::spawn(Arc::clone(&server).connection(stream, stop.clone()));
+            while connections.try_join_next().is_some() {}
+            connections.spawn(Arc::clone(&server).connection(stream, stop.clone()));
         }
+        drop(listener);
+        while connections.join_next().await.is_some() {}
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
@@ -88,7 +99,11 @@
             .initial_connection_window_size(STREAM_WINDOW_BYTES * 16)
             .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
             .handshake::<_, Bytes>(stream);
-        let Ok(Ok(mut connection)) = timeout(READ_TIMEOUT, handshake).await else {
+        let handshake = tokio::select! {
+            handshake = timeout(READ_TIMEOUT, handshake) => handshake,
+            _ = stop.changed() => return,
+        };
+        let Ok(Ok(mut connection)) = handshake else {
             return;
         };
         let mut unresponsive = tokio::spawn(wait_until_unresponsive(connection.ping_pong()));
@@ -96,16 +111,34 @@
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
                 _ = &mut unresponsive => break,
-                _ = stop.changed() => break,
+                _ = stop.changed() => {
+                    // Tells the peer which streams are not handled.
+                    connection.graceful_shutdown();
+                    let _ = timeout(CLOSE_TIME, self.accept_streams(&mut connection)).await;
+                    break;
+                }
             };
-            let Some(Ok((req, respond))) = accepted else {
+            if !self.spawn_stream(accepted) {
                 break;
-            };
-            tokio::spawn(Arc::clone(&self).stream(req, respond));
+            }
         }
         unresponsive.abort();
     }
 
+    /// Handles the streams of a connection until it closes.
+    async fn accept_streams(self: &Arc<Self>, connection: &mut Connection<TcpStream, Bytes>) {
+        while self.spawn_stream(connection.accept().await) {}
+    }
+
+    /// Handles a stream; returns false if the connection has closed.
+    fn spawn_stream(self: &Arc<Self>, accepted: Option<AcceptedStream>) -> bool {
+        let Some(Ok((req, respond))) = accepted else {
+            return false;
+        };
+        tokio::spawn(Arc::clone(self).stream(req, respond));
+        true
+    }
+
     async fn stream(self: Arc<Self>, req: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
         let path = req.uri().path().to_owned();
         let mut body = req.into_body();
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -1,9 +1,10 @@
 //! Streams between instances: complete, failed and cancelled answers, and peers that are
 //! unresponsive or not reachable.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -18,6 +19,8 @@
 use proptest::prelude::*;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 const LOOPBACK: &str = "127.0.0.1:0";
 
@@ -196,6 +199,121 @@
     assert_eq!(refusal.ran(), Ran::Unknown);
 }
 
+/// Time from the drain limit of an instance to the end of its grace.
+const STOP_TIME: Duration = Duration::from_millis(800);
+
+/// Answers later than a message takes to arrive, so that messages are in flight when its server stops.
+#[derive(Default)]
+struct Slow {
+    handled: Mutex<HashSet<Bytes>>,
+}
+
+impl Slow {
+    fn record(&self, body: &Bytes) {
+        let mut handled = self.handled.lock().expect("unpoisoned");
+        handled.insert(body.clone());
+    }
+}
+
+#[async_trait]
+impl PeerHandler for Slow {
+    fn kind(&self) -> &'static str {
+        "slow"
+    }
+
+    async fn answer(&self, body: Bytes) -> Result<Bytes, PeerError> {
+        self.record(&body);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Ok(body)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_message_to_a_stopping_peer_is_answered_or_not_reached() {
+    let listener = TcpListener::bind(LOOPBACK).await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let slow = Arc::new(Slow::default());
+    let (stop, stopped) = watch::channel(false);
+    let server = PeerServer::for_relays(None).with_handler(slow.clone());
+    let served = tokio::spawn(async move {
+        server.serve(listener, stopped).await;
+        Instant::now()
+    });
+    let peers = Arc::new(PeerClient::new(None));
+    let mut messages = JoinSet::new();
+    let mut stopped_at = None;
+    for n in 0..300 {
+        if n == 100 {
+            stop.send_replace(true);
+            stopped_at = Some(Instant::now());
+        }
+        let peers = Arc::clone(&peers);
+        messages.spawn(async move {
+            let body = Bytes::from(n.to_string());
+            let wait = Duration::from_secs(5);
+            let answer = peers.ask(address, "slow", body.clone(), wait).await;
+            (body, answer)
+        });
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let closing = served.await.expect("joined") - stopped_at.expect("stopped");
+    assert!(closing < STOP_TIME, "{closing:?}");
+    let (mut answered, mut not_reached) = (0, 0);
+    for (body, answer) in messages.join_all().await {
+        let handled = slow.handled.lock().expect("unpoisoned").contains(&body);
+        match answer {
+            Ok(_) => answered += 1,
+            Err(PeerError::NotReached(_)) => {
+                assert!(!handled, "{body:?} was handled");
+                not_reached += 1;
+            }
+            Err(e) => panic!("{body:?}, handled: {handled}: {e}"),
+        }
+    }
+    assert!(
+        answered >= 100 && not_reached > 0,
+        "{answered}, {not_reached}"
+    );
+}
+
+/// Accepts one connection and closes its first stream in the given way, without handling it.
+async fn close_first_stream(listener: TcpListener, close: fn(&mut Closing)) {
+    let (stream, _) = listener.accept().await.expect("accept");
+    let mut connection = h2::server::handshake(stream).await.expect("handshake");
+    let accepted = connection.accept().await.expect("a stream");
+    let (_request, respond) = accepted.expect("a stream");
+    let mut closing = Closing {
+        connection,
+        respond,
+    };
+    close(&mut closing);
+    let _ = closing.connection.accept().await;
+}
+
+struct Closing {
+    connection: h2::server::Connection<tokio::net::TcpStream, Bytes>,
+    respond: h2::server::SendResponse<Bytes>,
+}
+
+#[tokio::test]
+async fn only_a_stream_that_the_peer_states_not_to_have_handled_is_not_reached() {
+    let refuse: fn(&mut Closing) = |c| c.respond.send_reset(h2::Reason::REFUSED_STREAM);
+    let cancel: fn(&mut Closing) = |c| c.respond.send_reset(h2::Reason::CANCEL);
+    let fail: fn(&mut Closing) = |c| c.connection.abrupt_shutdown(h2::Reason::INTERNAL_ERROR);
+    for (close, is_reached) in [(refuse, false), (cancel, true), (fail, true)] {
+        let listener = TcpListener::bind(LOOPBACK).await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        tokio::spawn(close_first_stream(listener, close));
+        let peers = PeerClient::new(None);
+        let wait = Duration::from_secs(5);
+        let relayed = peers.relay(address, Bytes::from("x"), wait).await;
+        let error = relayed.map(drop).expect_err("no answer");
+        let lost = matches!(error, PeerError::ResponseLost(_));
+        assert_eq!(lost, is_reached, "{error}");
+        assert!(lost || matches!(error, PeerError::NotReached(_)), "{error}");
+    }
+}
+
 #[tokio::test]
 async fn dropping_a_forward_cancels_it_at_the_peer() {
     let server = start().await;
