Deliver an answer that is ready at the drain limit

Found by review: where the answer to a relayed request and the drain limit became known in one turn of the runtime, as after a standstill, the answer was replaced by a refusal in every second case. By reading; no test shows it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -257,6 +257,8 @@
         }
         let service = job.service.clone();
         let outcome = tokio::select! {
+            // An answer that is ready is delivered.
+            biased;
             outcome = self.0.run_local(&mut job) => outcome,
             () = self.0.gives_up() => {
                 let failure = job.given_up();
