Leave out instances of which other requests learnt that they leave

Found by review: a relayed request asked instances by the list that it made before its first try, so that requests under way at the same time each paid a round trip for the same leaving instance. By reading; no test shows it.

--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -28,13 +28,14 @@
         stats: &RegionStats,
     ) -> Result<Reply, Failure> {
         let fleet = self.fleet();
-        let now = self.clock.now();
         let mut peers: Vec<&Member> = fleet.live_members(region).collect();
-        peers.retain(|member| self.may_relay_to(now, member));
         let mut last_failure = no_target_failure(job);
         last_failure.try_other_region = true;
         let mut tries = RelayTries::default();
         while tries.may_continue() && !job.time_left().is_zero() {
+            // Other requests may have learnt meanwhile that an instance leaves or is cut off.
+            let now = self.clock.now();
+            peers.retain(|member| self.may_relay_to(now, member));
             if peers.is_empty() {
                 return Err(last_failure);
             }
