Take no relayed request once an instance closes before its drain limit

Found by review: an instance whose requests had ended early, from 2.7 s after SIGTERM on, went on to take relayed requests whose deadline lay before the drain limit while it gave up its limits, and dropped them with the process. Now it refuses these, waits for what came meanwhile, and then gives up the rest. By reading; no test shows it: the window is the release of limits, 0.4 s.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -304,6 +304,15 @@
                 break;
             }
         }
+        // Relayed requests may still arrive while the instance closes.
+        let now = gateway.clock.now();
+        gateway
+            .departure
+            .send_replace(Departure::Closed { drained_at: now });
+        while waits() {
+            sleep(DRAIN_POLL_PERIOD).await;
+        }
+        gateway.departure.send_replace(Departure::GivesUp);
         self.stop_peers_tx.send_replace(true);
         // Other instances reclaim shares that are not given up in time.
         let released = timeout(LIMIT_RELEASE_TIMEOUT, self.limiter.leave());
