Decide by the time of the signal which requests a leaving instance takes

A request that may outlast the drain limit was refused only once the instance had closed its listeners: 2.5 s after it had been told to stop, its membership had announced the leave and its task had run again. A starved instance gets to this later, and takes until then long streams that it cuts at 7.2 s; callers may be told of losses only for what they send up to 3 s after the signal.

Now the time is part of the decision (`known_at`), which needs no turn of the task that stops the instance, and the state `Closed` is gone. In tests/closing.rs the case of an instance that has not closed its listeners at that time is what the state before could not tell.

The end of `shut_down` no longer goes back from `GivesUp`: it takes nothing new, waits for what came meanwhile, gives up the rest once, and leaves it 200 ms at most to be written, less if all is. No step passes the drain limit by more than that, so the latest end stays 7.8 s of 8 s.

--- a/src/departure.rs
+++ b/src/departure.rs
@@ -17,11 +17,8 @@
     NotLeaving,
     /// The instance leaves. It waits for the requests in flight until `drained_at`.
     Leaving {
-        /// The time at which requests in flight are given up.
-        drained_at: Duration,
-    },
-    /// The instance leaves and has closed its listeners, as callers know by now that it leaves.
-    Closed {
+        /// The time from which callers know that the instance leaves.
+        known_at: Duration,
         /// The time at which requests in flight are given up.
         drained_at: Duration,
     },
@@ -40,9 +37,7 @@
     pub fn outlasts(self, now: Duration, time_left: Duration) -> bool {
         match self {
             Self::NotLeaving => true,
-            Self::Leaving { drained_at } | Self::Closed { drained_at } => {
-                now + time_left <= drained_at
-            }
+            Self::Leaving { drained_at, .. } => now + time_left <= drained_at,
             Self::GivesUp => false,
         }
     }
@@ -51,8 +46,8 @@
     /// Callers that do not know yet that the instance leaves are served as ever.
     pub fn takes(self, now: Duration, time_left: Duration) -> bool {
         match self {
-            Self::NotLeaving | Self::Leaving { .. } => true,
-            Self::Closed { .. } | Self::GivesUp => self.outlasts(now, time_left),
+            Self::Leaving { known_at, .. } if now < known_at => true,
+            _ => self.outlasts(now, time_left),
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -277,42 +277,49 @@
             .reloadable_settings()
             .grace
             .saturating_sub(DRAIN_MARGIN);
-        let drained_at = gateway.clock.now() + drain_limit;
+        let now = gateway.clock.now();
+        let drained_at = now + drain_limit;
         journal::line("leaving").value("in_flight", gateway.in_flight.count());
-        gateway
-            .departure
-            .send_replace(Departure::Leaving { drained_at });
+        gateway.departure.send_replace(Departure::Leaving {
+            known_at: now + LEAVE_NOTICE,
+            drained_at,
+        });
         self.withdraw_tx.send_replace(true);
         self.membership.leave().await;
         sleep(LEAVE_NOTICE).await;
-        gateway
-            .departure
-            .send_replace(Departure::Closed { drained_at });
         stop_tx.send_replace(true);
         let is_busy = || gateway.in_flight.count() > 0 || connections.count() > 0;
         let waits = || gateway.clock.now() < drained_at && is_busy();
-        loop {
+        let drain = async || {
             while waits() {
                 sleep(DRAIN_POLL_PERIOD).await;
             }
-            if gateway.clock.now() >= drained_at {
-                gateway.departure.send_replace(Departure::GivesUp);
-            }
-            sleep(CONNECTION_CLOSE_TIME).await;
+        };
+        drain().await;
+        loop {
+            let left = drained_at.saturating_sub(gateway.clock.now());
+            sleep(CONNECTION_CLOSE_TIME.min(left)).await;
             // An open connection may have brought another request meanwhile.
             if !waits() {
                 break;
             }
+            drain().await;
         }
-        // Relayed requests may still arrive while the instance closes.
         let now = gateway.clock.now();
-        gateway
-            .departure
-            .send_replace(Departure::Closed { drained_at: now });
-        while waits() {
-            sleep(DRAIN_POLL_PERIOD).await;
-        }
+        gateway.departure.send_replace(Departure::Leaving {
+            known_at: now,
+            drained_at: now,
+        });
+        // Relayed requests may have arrived meanwhile.
+        drain().await;
         gateway.departure.send_replace(Departure::GivesUp);
+        let refused = async {
+            while is_busy() {
+                sleep(DRAIN_POLL_PERIOD).await;
+            }
+        };
+        // What is still busy then is an answer that has begun.
+        let _ = timeout(CONNECTION_CLOSE_TIME, refused).await;
         self.stop_peers_tx.send_replace(true);
         // Other instances reclaim shares that are not given up in time.
         let released = timeout(LIMIT_RELEASE_TIMEOUT, self.limiter.leave());
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -221,8 +221,10 @@
         );
         let clock = self.services.clock;
         let drained_at = clock.now() + Duration::from_millis(self.services.settings.front.drain_ms);
-        self.departure
-            .send_replace(Departure::Leaving { drained_at });
+        self.departure.send_replace(Departure::Leaving {
+            known_at: drained_at,
+            drained_at,
+        });
         self.membership.leave().await;
         let started_at = Instant::now();
         while clock.now() < drained_at {
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -337,7 +337,10 @@
         let departure = self.departure.clone();
         tokio::spawn(async move {
             sleep(begins_after).await;
-            departure.send_replace(Departure::Leaving { drained_at });
+            departure.send_replace(Departure::Leaving {
+                known_at: drained_at,
+                drained_at,
+            });
             sleep(drain).await;
             departure.send_replace(Departure::GivesUp);
         });
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -95,17 +95,20 @@
         DRAINED_AT - now + Duration::from_millis(1),
     );
     let leaving = Departure::Leaving {
+        known_at: now + Duration::from_millis(1),
         drained_at: DRAINED_AT,
     };
-    let closed = Departure::Closed {
+    // A starved instance may get to closing its listeners later.
+    let known = Departure::Leaving {
+        known_at: now,
         drained_at: DRAINED_AT,
     };
     for (departure, time_left, takes, outlasts) in [
         (Departure::NotLeaving, too_long, true, true),
         (leaving, fits, true, true),
         (leaving, too_long, true, false),
-        (closed, fits, true, true),
-        (closed, too_long, false, false),
+        (known, fits, true, true),
+        (known, too_long, false, false),
         (Departure::GivesUp, Duration::ZERO, false, false),
     ] {
         let taken = departure.takes(now, time_left);
--- a/tests/front.rs
+++ b/tests/front.rs
@@ -524,6 +524,7 @@
 async fn a_leaving_instance_names_another_one() {
     let running = start().await;
     running.departure.send_replace(Departure::Leaving {
+        known_at: Duration::MAX,
         drained_at: Duration::MAX,
     });
     let answer = raw(running.address, &post("", &prompt("x", false))).await;
--- a/tests/relay_tries.rs
+++ b/tests/relay_tries.rs
@@ -45,6 +45,7 @@
 #[test]
 fn a_leaving_instance_takes_only_what_ends_before_it_gives_up() {
     let departure = Departure::Leaving {
+        known_at: ms(2_500),
         drained_at: ms(7_200),
     };
     assert!(departure.outlasts(ms(0), ms(7_200)));
