Give up in time what a short grace period does not leave time for

With a grace period below 3.7 s an instance waited the whole notice of 2.5 s before it looked at the time at which it gives up what has no answer, so the platform killed it first, and its callers had closed connections. Found by review; the deployments in force have 8 s.

Now the notice is no longer than the time to drain. The new test asks with 2 s of grace: the code before ended after 2.57 s, now all ten callers have an answer and the instance has ended within 2 s.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -280,13 +280,15 @@
         let now = gateway.clock.now();
         let drained_at = now + drain_limit;
         journal::line("leaving").value("in_flight", gateway.in_flight.count());
+        // A short grace period leaves less time.
+        let notice = LEAVE_NOTICE.min(drain_limit);
         gateway.departure.send_replace(Departure::Leaving {
-            known_at: now + LEAVE_NOTICE,
+            known_at: now + notice,
             drained_at,
         });
         self.withdraw_tx.send_replace(true);
         self.membership.leave().await;
-        sleep(LEAVE_NOTICE).await;
+        sleep(notice).await;
         stop_tx.send_replace(true);
         let is_busy = || gateway.in_flight.count() > 0 || connections.count() > 0;
         let waits = || gateway.clock.now() < drained_at && is_busy();
