Do not end a resumed stream at the first target's length

Callers saw: a resumable stream whose first target states a Content-Length and breaks off, or falls silent, goes on at another target. If that one sends more than is left of the length, the caller's body ends at the length and looks complete with its last events missing. If it breaks just there, the body looks complete too. If it sends less, the connection is cut though the stream has ended in order.

Cause: the head of the first answer went to the caller with its length, so the HTTP server counted the bytes and did not ask the body for its end. The body was also recorded as complete as soon as that many bytes had passed.

Why this mends it: the length is not passed on for an answer that another target may go on with, so the body goes in chunks and only its own end says complete. Answers to HEAD, and those without a body or of length 0, keep their header.

A resumable stream to an HTTP/1.0 caller now ends with the connection.

--- a/src/gateway/answer_body.rs
+++ b/src/gateway/answer_body.rs
@@ -13,6 +13,7 @@
 use super::Gateway;
 use super::attempt_timeout;
 use super::job::{Failure, Job, Reply};
+use super::routes::RouteKind;
 use super::source::Source;
 use crate::id::TargetId;
 use crate::journal;
@@ -94,21 +95,34 @@
     }
 }
 
-/// Returns the body of a reply as a stream of frames.
+/// Tells whether another target may go on with the body of a reply. The length that the reply states
+/// is then not that of the caller's body.
+pub(super) fn is_resumable(job: &Job, reply: &Reply) -> bool {
+    job.kind == RouteKind::ResumableStream
+        && reply.status.is_success()
+        && Framing::of_relayed(&job.method, reply.status, &reply.headers) != Framing::Length(0)
+}
+
+/// Returns the body of a reply as a stream of frames. Its length is not known if the reply
+/// [is resumable](is_resumable).
 pub(super) fn body_frames(
     gateway: Arc<Gateway>,
     job: Job,
     reply: Reply,
     began: Instant,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BodyError>> + Send {
-    let resumable = job.kind == super::routes::RouteKind::ResumableStream;
-    let framing = Framing::of_relayed(&job.method, reply.status, &reply.headers);
+    let resumable = is_resumable(&job, &reply);
+    let framing = if resumable {
+        Framing::Chunked
+    } else {
+        Framing::of_relayed(&job.method, reply.status, &reply.headers)
+    };
     let stream = job.kind.is_stream();
     let progress = AnswerProgress::new(framing, stream, reply.status, &reply.headers);
     let mut reader = BodyReader {
         gateway,
         progress,
-        events: (resumable && reply.status.is_success()).then(EventReader::default),
+        events: resumable.then(EventReader::default),
         end_record: EndRecord {
             request: job.id.clone(),
             began,
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -14,7 +14,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::answer_body::{BodyError, body_frames};
+use super::answer_body::{BodyError, body_frames, is_resumable};
 use super::attempts::{STARTUP_WAIT, strip_hop_by_hop_headers};
 use super::dialect::RequestHead;
 use super::job::{Failure, Job, LEAVING_RETRY_AFTER, Reply, suspects};
@@ -153,6 +153,9 @@
         let mut response = Response::new(());
         *response.status_mut() = reply.status;
         *response.headers_mut() = reply.headers.clone();
+        if is_resumable(&job, &reply) {
+            response.headers_mut().remove(CONTENT_LENGTH);
+        }
         let body = StreamBody::new(Box::pin(body_frames(
             Arc::clone(&self.0),
             job,
