Choose the instances that a relayed request tries in one pure type

Callers saw nothing: this closes a gap of the tests. `tests/relay_tries.rs` played the loop of a sender itself, so that it guarded the count of the tries and not which instances `relay_to_region` asks. The finding of, that an instance of which other requests learnt meanwhile that it leaves is left out, had no test.

`RelayTries` now holds the candidates of a region and chooses the next one, and `PeerFilter` tells which instances are left out by what is known now. `relay_to_region` and the test use both. `region_stats` uses the same filter, so that a region is offered if and only if a request may be relayed to it.

The cases that the test had before are kept: the bounds on the tries are played on instances that are chosen, not on counters alone.

--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -2,7 +2,6 @@
 //! is cut off from its targets.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::attempts::{attempt_failed_line, format_ms, no_target_failure, to_millis};
 use super::job::{Failure, Job, Reply};
@@ -10,12 +9,11 @@
 use super::pool;
 use super::region::RegionStats;
 use super::relay::{WireHead, WireJob, WireOutcome, headers_from_wire, status_from_wire};
-use super::relay_tries::{NotTaken, RelayTries};
+use super::relay_tries::{NotTaken, PeerFilter, RelayTries};
 use super::source::Source;
 use super::{Gateway, lock};
 use crate::id::RegionId;
 use crate::journal;
-use crate::member::Member;
 use crate::peer::{PeerError, decode, encode};
 use crate::refusal::{Code, Refusal};
 
@@ -28,18 +26,14 @@
         stats: &RegionStats,
     ) -> Result<Reply, Failure> {
         let fleet = self.fleet();
-        let mut peers: Vec<&Member> = fleet.live_members(region).collect();
         let mut last_failure = no_target_failure(job);
         last_failure.try_other_region = true;
-        let mut tries = RelayTries::default();
-        while tries.may_continue() && !job.time_left().is_zero() {
-            // Other requests may have learnt meanwhile that an instance leaves or is cut off.
-            let now = self.clock.now();
-            peers.retain(|member| self.may_relay_to(now, member));
-            if peers.is_empty() {
+        let mut tries = RelayTries::new(&fleet, region);
+        while !job.time_left().is_zero() {
+            let chosen = self.filter_peers(|f| tries.choose_next(f, &mut rand::rng()));
+            let Some(peer) = chosen else {
                 return Err(last_failure);
-            }
-            let peer = peers.swap_remove(rand::random_range(0..peers.len()));
+            };
             let message = match encode(&WireJob::from(&*job)) {
                 Ok(message) => message,
                 Err(e) => {
@@ -154,12 +148,14 @@
         Err(last_failure)
     }
 
-    /// Tells whether requests may be relayed to a live instance: another one that has not lately said
-    /// that it is cut off from its targets, nor that it leaves.
-    fn may_relay_to(&self, now: Duration, member: &Member) -> bool {
-        member.id != self.id
-            && !self.reach().avoids(now, &member.id)
-            && !lock(&self.leaving_instances).contains(&member.id, member.incarnation)
+    /// Passes to `f` which instances requests may be relayed to by what is known now.
+    fn filter_peers<T>(&self, f: impl FnOnce(&PeerFilter<'_>) -> T) -> T {
+        f(&PeerFilter {
+            own: &self.id,
+            now: self.clock.now(),
+            reach: &self.reach(),
+            leaving: &lock(&self.leaving_instances),
+        })
     }
 
     /// Creates the failure of a relayed request that returned no answer.
@@ -195,12 +191,13 @@
             round_trip_ms: self.region_round_trip_ms,
         };
         let fleet = self.fleet();
-        let now = self.clock.now();
         let is_cut_off = self.is_cut_off();
-        stats.capacity.retain(|region, _| {
-            let has_links = *region == self.region && !is_cut_off;
-            let mut members = fleet.live_members(region);
-            has_links || members.any(|member| self.may_relay_to(now, member))
+        self.filter_peers(|filter| {
+            stats.capacity.retain(|region, _| {
+                let has_links = *region == self.region && !is_cut_off;
+                let mut members = fleet.live_members(region);
+                has_links || members.any(|member| filter.allows(member))
+            });
         });
         if is_cut_off {
             // The waits of the own region are those that its other instances tell.
--- a/src/gateway/relay_tries.rs
+++ b/src/gateway/relay_tries.rs
@@ -1,5 +1,13 @@
-//! Decides whether a relayed request that an instance did not take is relayed to another instance of
-//! the region.
+//! Decides to which instances of a region a request is relayed, one after the other.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::reach::Reach;
+use crate::departure::LeavingInstances;
+use crate::id::{InstanceId, RegionId};
+use crate::member::{Fleet, Member};
 
 /// Number of unreachable instances after which a request is not relayed to further instances of a
 /// region.
@@ -20,14 +28,65 @@
     Leaving,
 }
 
-/// The instances of one region that did not take a request.
-#[derive(Debug, Clone, Default)]
-pub struct RelayTries {
+/// Tells to which live instances requests may be relayed, by what is known now.
+#[derive(Debug, Clone, Copy)]
+pub struct PeerFilter<'a> {
+    /// The instance that relays.
+    pub own: &'a InstanceId,
+    /// The time of the instance's clock.
+    pub now: Duration,
+    /// The instances that have lately said that they are cut off from their targets.
+    pub reach: &'a Reach,
+    /// The instances that have said that they leave.
+    pub leaving: &'a LeavingInstances,
+}
+
+impl PeerFilter<'_> {
+    /// Tells whether requests may be relayed to a live instance.
+    pub fn allows(&self, member: &Member) -> bool {
+        member.id != *self.own
+            && !self.reach.avoids(self.now, &member.id)
+            && !self.leaving.contains(&member.id, member.incarnation)
+    }
+}
+
+/// The instances of one region to which a request may still be relayed, and how many did not take it.
+#[derive(Debug, Clone)]
+pub struct RelayTries<'a> {
+    candidates: Vec<&'a Member>,
     unreachable: usize,
     cut_off: usize,
 }
 
-impl RelayTries {
+impl<'a> RelayTries<'a> {
+    /// Creates the tries of a request that has been relayed to no instance of the region yet.
+    pub fn new(fleet: &'a Fleet, region: &'a RegionId) -> Self {
+        Self {
+            candidates: fleet.live_members(region).collect(),
+            unreachable: 0,
+            cut_off: 0,
+        }
+    }
+
+    /// Chooses the instance to which the request is relayed next; `None` if it is relayed to no
+    /// further one.
+    pub fn choose_next(
+        &mut self,
+        filter: &PeerFilter<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Member> {
+        if !self.may_continue() {
+            return None;
+        }
+        // Other requests may have learnt meanwhile that an instance leaves or is cut off.
+        self.candidates.retain(|member| filter.allows(member));
+        if self.candidates.is_empty() {
+            return None;
+        }
+        let chosen = rng.random_range(0..self.candidates.len());
+        Some(self.candidates.swap_remove(chosen))
+    }
+
     /// Records that an instance did not take the request.
     ///
     /// Leaving instances are not counted: they refuse at once, each tells a sender once, and they say
@@ -40,8 +99,7 @@
         }
     }
 
-    /// Tells whether the request may be relayed to another instance of the region.
-    pub fn may_continue(&self) -> bool {
+    fn may_continue(&self) -> bool {
         self.unreachable < MAX_UNREACHABLE_INSTANCES && self.cut_off < MAX_CUT_OFF_INSTANCES
     }
 }
--- a/tests/relay_tries.rs
+++ b/tests/relay_tries.rs
@@ -1,13 +1,15 @@
-//! How many instances a relayed request tries, and what a leaving instance still takes of these.
+//! Which instances a relayed request tries, and what a leaving instance still takes of these.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use limpetstand::departure::{Departure, LeavingInstances};
-use limpetstand::gateway::relay_tries::{NotTaken, RelayTries};
-use limpetstand::id::InstanceId;
+use limpetstand::gateway::reach::Reach;
+use limpetstand::gateway::relay_tries::{NotTaken, PeerFilter, RelayTries};
+use limpetstand::id::{InstanceId, RegionId};
 use limpetstand::member::{Fleet, Health, Member};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
 /// Number of regions of a deployment.
 const REGIONS: usize = 3;
@@ -18,6 +20,9 @@
 /// Requests that a sender relays while instances leave.
 const REQUESTS: usize = 2_000;
 
+/// Requests of a sender that are under way at the same time.
+const AT_ONCE: usize = 50;
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -42,6 +47,49 @@
     }
 }
 
+/// An instance that relays requests to a region, and what it knows of the instances there.
+struct Sender {
+    id: InstanceId,
+    region: RegionId,
+    fleet: Fleet,
+    reach: Reach,
+    leaving: LeavingInstances,
+    rng: SmallRng,
+}
+
+impl Sender {
+    /// Creates a sender to the region of a deployment.
+    fn new(instances: usize, seed: u64) -> Self {
+        Self {
+            id: "sender".into(),
+            region: "north".into(),
+            fleet: fleet(instances / REGIONS),
+            reach: Reach::default(),
+            leaving: LeavingInstances::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses the instance that a request tries next; returns its number.
+    fn choose(&mut self, tries: &mut RelayTries<'_>) -> Option<usize> {
+        let filter = PeerFilter {
+            own: &self.id,
+            now: ms(0),
+            reach: &self.reach,
+            leaving: &self.leaving,
+        };
+        let chosen = tries.choose_next(&filter, &mut self.rng)?;
+        self.fleet.members.iter().position(|m| m.id == chosen.id)
+    }
+
+    /// Learns that an instance leaves.
+    fn record_leaving(&mut self, n: usize) {
+        let member = &self.fleet.members[n];
+        self.leaving
+            .record(&self.fleet, &member.id, member.incarnation);
+    }
+}
+
 #[test]
 fn a_leaving_instance_takes_only_what_ends_before_it_gives_up() {
     let departure = Departure::Leaving {
@@ -74,22 +122,40 @@
 
 #[test]
 fn cut_off_and_unreachable_instances_bound_the_tries_and_leaving_ones_do_not() {
-    let mut tries = RelayTries::default();
-    for _ in 0..100 {
+    let mut sender = Sender::new(300, 0);
+    let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+    let mut tries = RelayTries::new(&fleet, &region);
+    for _ in 0..fleet.members.len() / 2 {
+        assert!(sender.choose(&mut tries).is_some());
         tries.record(NotTaken::Leaving);
     }
-    assert!(tries.may_continue());
     let mut unreachable = tries.clone();
-    unreachable.record(NotTaken::NotReached);
-    assert!(unreachable.may_continue());
-    unreachable.record(NotTaken::NotReached);
-    assert!(!unreachable.may_continue());
-    for _ in 0..3 {
+    for _ in 0..2 {
+        assert!(sender.choose(&mut unreachable).is_some());
+        unreachable.record(NotTaken::NotReached);
+    }
+    assert_eq!(sender.choose(&mut unreachable), None);
+    for _ in 0..4 {
+        assert!(sender.choose(&mut tries).is_some());
         tries.record(NotTaken::CutOff);
-        assert!(tries.may_continue());
     }
-    tries.record(NotTaken::CutOff);
-    assert!(!tries.may_continue());
+    assert_eq!(sender.choose(&mut tries), None);
+}
+
+#[test]
+fn an_instance_relays_to_live_others_of_the_region_that_are_not_left_out() {
+    let mut sender = Sender::new(9 * REGIONS, 0);
+    sender.fleet.members[0].region = "south".into();
+    sender.fleet.members[1].health = Health::Suspect;
+    sender.id = sender.fleet.members[2].id.clone();
+    let cut_off = sender.fleet.members[3].id.clone();
+    sender.reach.record_instance_cut_off(ms(0), &cut_off);
+    sender.record_leaving(4);
+    let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+    let mut tries = RelayTries::new(&fleet, &region);
+    let mut chosen: Vec<usize> = std::iter::from_fn(|| sender.choose(&mut tries)).collect();
+    chosen.sort_unstable();
+    assert_eq!(chosen, [5, 6, 7, 8]);
 }
 
 /// Tries that requests needed.
@@ -102,11 +168,9 @@
 /// Relays requests to a region of which a third leaves, one instance after the other or all at once,
 /// by a sender that learns it only from what the instances answer.
 fn relay_while_a_third_leaves(instances: usize, in_series: bool, seed: u64) -> Tries {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let in_region = instances / REGIONS;
-    let leavers = in_region / 3;
-    let fleet = fleet(in_region);
-    let mut leaving = LeavingInstances::default();
+    let mut sender = Sender::new(instances, seed);
+    let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+    let leavers = fleet.members.len() / 3;
     let mut needed = Tries::default();
     for request in 0..REQUESTS {
         let begun = if in_series {
@@ -114,22 +178,16 @@
         } else {
             leavers
         };
-        let is_leaving = |n: usize| n < begun;
-        let mut peers: Vec<(usize, &Member)> = fleet.members.iter().enumerate().collect();
-        peers.retain(|(_, m)| !leaving.contains(&m.id, m.incarnation));
-        let mut tries = RelayTries::default();
+        let mut tries = RelayTries::new(&fleet, &region);
         let mut count = 0;
         loop {
-            assert!(
-                tries.may_continue() && !peers.is_empty(),
-                "refused: {request}"
-            );
-            let (n, peer) = peers.swap_remove(rng.random_range(0..peers.len()));
+            let chosen = sender.choose(&mut tries);
+            let n = chosen.unwrap_or_else(|| panic!("refused: {request}"));
             count += 1;
-            if !is_leaving(n) {
+            if n >= begun {
                 break;
             }
-            leaving.record(&fleet, &peer.id, peer.incarnation);
+            sender.record_leaving(n);
             tries.record(NotTaken::Leaving);
         }
         needed.most = needed.most.max(count);
@@ -157,20 +215,56 @@
     }
 }
 
+#[test]
+fn a_request_does_not_try_an_instance_of_which_another_learnt_that_it_leaves() {
+    for instances in [9, 62, 300] {
+        let mut again = 0;
+        for seed in 0..SEEDS {
+            let mut sender = Sender::new(instances, seed);
+            let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+            let leavers = fleet.members.len() / 3;
+            let mut waiting = vec![RelayTries::new(&fleet, &region); AT_ONCE];
+            let mut known = HashSet::new();
+            while !waiting.is_empty() {
+                let mut refused = Vec::new();
+                for mut tries in waiting {
+                    let n = sender.choose(&mut tries).expect("some stay");
+                    again += usize::from(known.contains(&n));
+                    if n < leavers {
+                        refused.push((n, tries));
+                    }
+                }
+                waiting = Vec::new();
+                for (n, mut tries) in refused {
+                    known.insert(n);
+                    sender.record_leaving(n);
+                    tries.record(NotTaken::Leaving);
+                    waiting.push(tries);
+                }
+            }
+        }
+        assert_eq!(again, 0, "{instances} instances: tries of known leavers");
+    }
+}
+
 #[test]
 fn a_request_reaches_the_only_instance_that_stays() {
     for instances in [9, 62, 300] {
-        let fleet = fleet(instances / REGIONS);
-        let mut leaving = LeavingInstances::default();
-        let mut tries = RelayTries::default();
+        let mut sender = Sender::new(instances, 0);
+        let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+        let mut tries = RelayTries::new(&fleet, &region);
         let stays = fleet.members.len() - 1;
-        for (n, member) in fleet.members.iter().enumerate() {
-            assert!(tries.may_continue(), "{n} of {instances}");
-            if n < stays {
-                leaving.record(&fleet, &member.id, member.incarnation);
-                tries.record(NotTaken::Leaving);
+        // Each instance is reached, also the last one after all others have refused.
+        let mut tried = HashSet::new();
+        while let Some(n) = sender.choose(&mut tries) {
+            tried.insert(n);
+            tries.record(NotTaken::Leaving);
+            if n != stays {
+                sender.record_leaving(n);
             }
         }
-        assert!(!leaving.contains(&fleet.members[stays].id, 1));
+        assert_eq!(tried.len(), fleet.members.len(), "{instances}");
+        let mut next = RelayTries::new(&fleet, &region);
+        assert_eq!(sender.choose(&mut next), Some(stays), "{instances}");
     }
 }
