Reset connections within answers that end with the connection

Callers saw: an HTTP/1.0 caller gets an answer of unknown length without chunks, so the end of the connection ends the body. Where the instance reached its drain limit, was killed, or gave up the connection because the caller had closed its side, the connection was closed in order and the cut answer looked whole. On the product's own interface the same held for an answer that breaks off. On the platform's interface a broken answer and the deadline were reset already.

Cause: only an error of the body made `CallerStream` set the reset. Where the connection goes with its task or its process, no error comes, and the product's own interface does not use `CallerStream`.

Why this mends it: the reset is set on the socket before the first byte of such an answer is written, so that the system resets the connection however it ends, and taken back once the body has ended and the system holds all of it. A whole answer thus ends in order and is delivered, also late (32 MiB of pieces to a late reader in the test). Answers with a length, in chunks or without a body are as before. Both interfaces serve through `ClosingStream`, so the rule of the platform's interface in `listen.rs` goes.

--- a/src/accept.rs
+++ b/src/accept.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::header::{CONNECTION, CONTENT_LENGTH};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
@@ -16,8 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::closing_stream::{AnswerGuard, OpenRequest, is_stopped};
-use crate::guarded_body::GuardedBody;
+use crate::closing_stream::{AnswerBody, AnswerGuard, OpenRequest, is_stopped};
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -93,8 +92,10 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let stopped = stop.clone();
-    let service = service_fn(|req| {
+    let service = service_fn(|req: Request<Incoming>| {
         let guard = AnswerGuard::new(&request);
+        // Such callers do not know chunks.
+        let knows_chunks = req.version() >= Version::HTTP_11;
         let response = service.call(req);
         let stopped = &stopped;
         async move {
@@ -103,7 +104,9 @@
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(guard, body)))
+            let ends_with_connection = !knows_chunks && !has_length(&response);
+            let body = |body| AnswerBody::new(guard, body, ends_with_connection);
+            Ok::<_, Infallible>(response.map(body))
         }
     });
     let mut connection = pin!(builder.serve_connection(io, service));
@@ -115,3 +118,9 @@
     // Polls the connection, which then reads again.
     let _ = connection.await;
 }
+
+/// Tells whether the caller learns the length of a response's body before the body.
+fn has_length<B: Body>(response: &Response<B>) -> bool {
+    let length = response.body().size_hint().exact();
+    length.is_some() || response.headers().contains_key(CONTENT_LENGTH)
+}
--- a/src/closing_stream.rs
+++ b/src/closing_stream.rs
@@ -1,13 +1,15 @@
-//! A connection that ends at shutdown once nothing of a request has arrived.
+//! A connection that ends at shutdown once nothing of a request has arrived, and that is reset if it
+//! ends within an answer whose end only the end of the connection tells.
 
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -26,11 +28,17 @@
     request: Arc<OpenRequest>,
     /// Ends the wait for the first request; `None` once a byte of it has been read.
     first_request: Option<Pin<Box<Sleep>>>,
+    /// Whether the system resets the connection when it is closed, also if the process is killed.
+    resets: bool,
 }
 
 /// How far the current request of a connection is.
 #[derive(Debug, Default)]
-pub(crate) struct OpenRequest(AtomicU8);
+pub(crate) struct OpenRequest {
+    progress: AtomicU8,
+    /// Whether the end of the connection would now pass for the end of an answer that is not whole.
+    must_reset: AtomicBool,
+}
 
 impl OpenRequest {
     /// No byte of a request has been read.
@@ -41,19 +49,23 @@
     const ANSWERED: u8 = 2;
 
     fn begin(&self) {
-        self.0.store(Self::OPEN, Ordering::Release);
+        self.progress.store(Self::OPEN, Ordering::Release);
     }
 
     fn is_none(&self) -> bool {
-        self.0.load(Ordering::Acquire) == Self::NONE
+        self.progress.load(Ordering::Acquire) == Self::NONE
+    }
+
+    fn must_reset(&self) -> bool {
+        self.must_reset.load(Ordering::Acquire)
     }
 
     /// Records that all is written; returns whether that ends a request.
     fn end_if_answered(&self) -> bool {
         let (answered, none) = (Self::ANSWERED, Self::NONE);
-        let ended = self
-            .0
-            .compare_exchange(answered, none, Ordering::AcqRel, Ordering::Acquire);
+        let ended =
+            self.progress
+                .compare_exchange(answered, none, Ordering::AcqRel, Ordering::Acquire);
         ended.is_ok()
     }
 }
@@ -61,6 +73,14 @@
 /// Records that a request is answered when dropped.
 pub(crate) struct AnswerGuard(Arc<OpenRequest>);
 
+/// The body of an answer, which records how far the answer is.
+pub(crate) struct AnswerBody<B> {
+    guard: AnswerGuard,
+    body: B,
+    /// Whether only the end of the connection tells that of the body.
+    ends_with_connection: bool,
+}
+
 impl AnswerGuard {
     /// Creates the guard of the request that has been read.
     pub(crate) fn new(request: &Arc<OpenRequest>) -> Self {
@@ -71,7 +91,44 @@
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        (self.0).0.store(OpenRequest::ANSWERED, Ordering::Release);
+        let progress = &self.0.progress;
+        progress.store(OpenRequest::ANSWERED, Ordering::Release);
+    }
+}
+
+impl<B> AnswerBody<B> {
+    pub(crate) fn new(guard: AnswerGuard, body: B, ends_with_connection: bool) -> Self {
+        Self {
+            guard,
+            body,
+            ends_with_connection,
+        }
+    }
+}
+
+impl<B: Body + Unpin> Body for AnswerBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    /// The server asks only for a body that the caller gets, and asks for its end unless the length
+    /// is known.
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let ended = matches!(polled, Poll::Ready(None));
+        let must_reset = &self.guard.0.must_reset;
+        must_reset.store(self.ends_with_connection && !ended, Ordering::Release);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -82,6 +139,7 @@
             stop,
             request: Arc::default(),
             first_request: Some(Box::pin(sleep(FIRST_REQUEST_TIME))),
+            resets: false,
         }
     }
 
@@ -95,6 +153,24 @@
         self.stream.set_zero_linger()
     }
 
+    /// Makes the connection reset if it ends before the answer is whole.
+    fn guard_answer(&mut self) -> io::Result<()> {
+        if !self.resets && self.request.must_reset() {
+            self.set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Makes the connection end in order once the system holds a whole answer.
+    fn release_answer(&mut self) -> io::Result<()> {
+        if self.resets && !self.request.must_reset() {
+            SockRef::from(&self.stream).set_linger(None)?;
+            self.resets = false;
+        }
+        Ok(())
+    }
+
     /// Tells whether the first request may still be on its way.
     fn awaits_first_request(&mut self, cx: &mut Context<'_>) -> bool {
         let timer = self.first_request.as_mut();
@@ -142,12 +218,16 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.guard_answer()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     /// The server flushes once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if polled.is_ready() {
+            self.release_answer()?;
+        }
         if polled.is_ready() && self.request.end_if_answered() && is_stopped(&self.stop) {
             // The server reads again, and so learns whether there is another request.
             cx.waker().wake_by_ref();
@@ -156,6 +236,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.resets {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -164,6 +247,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.guard_answer()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -1,5 +1,5 @@
-//! A caller's connection: time limits on heads, answers and idle times, and a reset where an answer
-//! breaks off.
+//! A caller's connection: time limits on heads, answers and idle times, and a reset of a connection
+//! whose caller does not read.
 
 use std::future::Future;
 use std::io;
@@ -30,8 +30,7 @@
 ///
 /// Writes fail if the caller does not read an answer until its deadline.
 ///
-/// The connection is reset when dropped if its caller did not read in time, or if an answer broke
-/// off whose end only the end of the connection tells.
+/// The connection is reset when dropped if its caller did not read in time.
 pub(super) struct CallerStream {
     stream: ClosingStream,
     limits: LimitsInForce,
@@ -42,6 +41,8 @@
     idle: Option<Idle>,
     /// Ends a write that waits for the caller; `None` if none waits.
     write_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the caller did not read an answer in time.
+    stalled: bool,
 }
 
 /// A time in which no request has begun.
@@ -55,7 +56,6 @@
 pub(super) struct RequestTracker {
     complete_heads: AtomicU64,
     serving: AtomicBool,
-    broken_off: AtomicBool,
     /// The task that reads from the connection, which waits for the end of the response.
     reader: AtomicWaker,
     /// The deadline of the answer that is being sent.
@@ -71,11 +71,6 @@
     fn deadline(&self) -> Option<Instant> {
         *self.deadline.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Records that an answer broke off whose end only the end of the connection tells.
-    pub(super) fn record_broken_off(&self) {
-        self.broken_off.store(true, Ordering::Release);
-    }
 }
 
 impl CallerStream {
@@ -88,6 +83,7 @@
             head_timer: None,
             idle: None,
             write_timer: None,
+            stalled: false,
         }
     }
 
@@ -131,18 +127,18 @@
             return Poll::Pending;
         }
         metrics::counter!("limpetstand_callers_stalled_total").increment(1);
-        self.tracker.record_broken_off();
+        self.stalled = true;
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if !self.tracker.broken_off.load(Ordering::Acquire) {
+        if !self.stalled {
             return;
         }
         if let Err(e) = self.stream.set_zero_linger() {
-            log::warn!("cannot reset a connection whose answer broke off: {e}");
+            log::warn!("cannot reset a connection whose caller does not read: {e}");
         }
     }
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response, StatusCode, Version};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -84,8 +84,6 @@
         let guard = ServingGuard::new(&tracker);
         let tracker = Arc::clone(&tracker);
         async move {
-            // Such callers do not know chunks.
-            let ends_with_connection = req.version() < Version::HTTP_11;
             let max_header_bytes = handler.limits().max_header_bytes;
             let mut response = if head_bytes(&req) > max_header_bytes {
                 head_too_large()
@@ -99,15 +97,7 @@
             }
             let deadline = response.extensions().get::<AnswerDeadline>();
             tracker.set_deadline(deadline.map(|d| d.0));
-            let response = response.map(|body| {
-                GuardedBody::new(guard, body).map_err(move |e| {
-                    if ends_with_connection {
-                        tracker.record_broken_off();
-                    }
-                    e
-                })
-            });
-            Ok::<_, Infallible>(response.map(BodyExt::boxed_unsync))
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(guard, body)))
         }
     });
     let mut builder = http1::Builder::new();
--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -1,11 +1,13 @@
 //! Which requests an instance takes at shutdown, and how it closes callers' connections.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{Error, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::routing::any;
+use futures_util::stream::{self, StreamExt};
 use limpetstand::departure::Departure;
 use limpetstand::front::serve;
 use tokio::net::TcpListener;
@@ -19,6 +21,8 @@
 /// More than the system holds for a connection whose caller does not read.
 const LONG_BYTES: usize = 32 * 1024 * 1024;
 
+const PIECE_BYTES: usize = 1024;
+
 /// Time for which a request may be on its way to a connection that is being closed.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
@@ -30,6 +34,23 @@
 /// The time at which an instance gives up what has no answer.
 const DRAINED_AT: Duration = Duration::from_secs(100);
 
+/// Returns a body of unknown length.
+fn pieces() -> Body {
+    let piece = || Ok::<_, Error>(vec![b'x'; PIECE_BYTES]);
+    Body::from_stream(stream::iter(
+        (0..LONG_BYTES / PIECE_BYTES).map(move |_| piece()),
+    ))
+}
+
+/// Returns a body of unknown length that is silent after its first piece, and then breaks off.
+fn broken(silence: Duration) -> Body {
+    let rest = stream::once(async move {
+        sleep(silence).await;
+        Err(Error::other("broken"))
+    });
+    Body::from_stream(stream::iter([Ok(vec![b'x'; PIECE_BYTES])]).chain(rest))
+}
+
 struct Server {
     address: SocketAddr,
     stop: watch::Sender<bool>,
@@ -42,7 +63,10 @@
     let address = listener.local_addr().expect("an address");
     let router = Router::new()
         .route("/short", any(|| async { "short" }))
-        .route("/long", any(|| async { vec![b'x'; LONG_BYTES] }));
+        .route("/long", any(|| async { vec![b'x'; LONG_BYTES] }))
+        .route("/pieces", any(|| async { pieces() }))
+        .route("/broken", any(|| async { broken(LOSS_SLACK / 2) }))
+        .route("/silent", any(|| async { broken(2 * READ_TIMEOUT) }));
     let (stop, stopped) = watch::channel(false);
     let task = tokio::spawn(serve::serve(listener, router, READ_TIMEOUT, stopped));
     Server {
@@ -195,3 +219,45 @@
     let ended = timeout(READ_TIMEOUT, server.task).await;
     ended.expect("closed in time").expect("no panic");
 }
+
+/// Guards against an answer that is cut and looks whole to a caller that knows no chunks, and against
+/// a whole one that is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_whole_answers_end_in_order_for_callers_without_chunks() {
+    let server = start().await;
+    let address = server.address;
+    let read = spawn_blocking(move || {
+        let mut ends = Vec::new();
+        for path in ["/short", "/long", "/pieces", "/broken", "/silent"] {
+            let mut connection = connect(address);
+            let request = format!("GET {path} HTTP/1.0\r\nhost: x\r\n\r\n");
+            connection.write_all(request.as_bytes()).expect("sent");
+            let mut answer = vec![0; 1];
+            connection.read_exact(&mut answer).expect("an answer");
+            if path == "/silent" {
+                connection.shutdown(Shutdown::Write).expect("open");
+            }
+            // The answer lies with the system, as far as it has room, before it is read.
+            std::thread::sleep(LOSS_SLACK);
+            let end = connection.read_to_end(&mut answer);
+            ends.push((path, answer.len(), end.map_err(|e| e.kind())));
+        }
+        ends
+    });
+    let ends = read.await.expect("joined");
+    for (path, bytes, end) in &ends {
+        let is_whole = match *path {
+            "/short" => *bytes > "short".len(),
+            "/long" | "/pieces" => *bytes > LONG_BYTES,
+            _ => false,
+        };
+        let is_right = match end {
+            Ok(_) => is_whole,
+            Err(kind) => !is_whole && *kind == ErrorKind::ConnectionReset,
+        };
+        assert!(is_right, "{path} in {ends:?}");
+    }
+    server.stop.send_replace(true);
+    let ended = timeout(READ_TIMEOUT, server.task).await;
+    ended.expect("closed in time").expect("no panic");
+}
