Test how long a change may wait for the next watch

Traces the listed failure of `leaving_targets_and_evacuated_data_centres_get_no_requests`: one request at a target 300 ms after its entry was set to draining.

Cause: the test's 300 ms are the shortest time between the starts of two watch calls (`MIN_WATCH_PERIOD`). The test writes the entry right after the instance has become ready, that is just after the first load, so the next watch begins up to 300 ms after the load and brings the change after the time of a call. The test's time has no margin over the design.

It passes on the code before, as it changes nothing.

--- a/tests/news.rs
+++ b/tests/news.rs
@@ -323,6 +323,25 @@
     }
 }
 
+/// Guards against a watch call for each change, and against a change that waits for more than one.
+#[tokio::test(start_paused = true)]
+async fn changes_in_quick_succession_are_heard_together_after_up_to_one_watch_period() {
+    let fleet = TestFleet::start(1, 1).await;
+    let all = fleet.all();
+    let first = fleet.time_to_all("t1", &all).await;
+    let second = fleet.time_to_all("t2", &all).await;
+    assert!(first.max(second) < ms(50), "{first:?}, {second:?}");
+    fleet.store.put("servers/t3", "leaving");
+    sleep(ms(100)).await;
+    assert!(!all[0].knows_leaving("t3"));
+    let fourth = fleet.time_to_all("t4", &all).await;
+    assert!(all[0].knows_leaving("t3"));
+    // A watch period, a call and a step of the measurement after the third change.
+    let third = ms(100) + fourth;
+    assert!(third > ms(250) && third <= ms(300 + 4 + 20), "{third:?}");
+    println!("known after {first:?}, {second:?} and {third:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn news_arrives_in_time_while_both_listeners_are_gone_or_cut_off() {
     let fleet = TestFleet::start(60, 3).await;
