Go on to other instances where nothing listens at ended ones

Callers saw 503 while instances of another region had ended and were still listed as live, though others of that region stood ready.

Cause: two instances that were not reached ended the tries of a region, and no request learnt from another. A refused connection counted like a silent one, though it costs a round trip, not up to 1 s, and tells that the process is gone. `PeerError::NotReached` held a text only.

Now it holds `Unreached`, which tells a refused connection from all else; senders that wait for the connection of another one learn the same reason. A refused connection does not count against the two. That process is remembered by its incarnation, as one that leaves is, but for 3 s only: a link that refuses connections may heal, and the process would be left out until its end. 16 refused connections end the tries of a region, as each costs a round trip and the region may be lost as a whole. Silent instances stay bounded as before, two at 1 s each.

--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -62,9 +62,17 @@
                     journal::line("instance_not_reached")
                         .text("request", &job.id)
                         .text("peer", peer.id.as_str())
-                        .text("error", &why);
+                        .value("nothing_listens", why.nothing_listens())
+                        .text("error", &why.to_string());
                     job.sent = false;
-                    tries.record(NotTaken::NotReached);
+                    if why.nothing_listens() {
+                        let now = self.clock.now();
+                        self.reach()
+                            .record_instance_ended(now, &peer.id, peer.incarnation);
+                        tries.record(NotTaken::Ended);
+                    } else {
+                        tries.record(NotTaken::NotReached);
+                    }
                     continue;
                 }
                 Err(e) => {
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -14,6 +14,10 @@
 /// How long an instance that has said that it is cut off gets no requests.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// How long a process at whose address nothing listened gets no requests. A link that refuses
+/// connections may heal, so the process is not left out for good.
+const ENDED_TIME: Duration = Duration::from_secs(3);
+
 /// What is known of this instance's links to targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Link {
@@ -31,6 +35,13 @@
     connected_at: Option<Duration>,
     is_cut_off: bool,
     cut_off_instances: HashMap<InstanceId, Duration>,
+    ended_instances: HashMap<InstanceId, EndedProcess>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct EndedProcess {
+    incarnation: u64,
+    until: Duration,
 }
 
 impl Reach {
@@ -74,4 +85,18 @@
         let until = self.cut_off_instances.get(id);
         until.is_some_and(|until| *until > now)
     }
+
+    /// Records that nothing listens at the address of another instance.
+    pub fn record_instance_ended(&mut self, now: Duration, id: &InstanceId, incarnation: u64) {
+        self.ended_instances.retain(|_, ended| ended.until > now);
+        let until = now + ENDED_TIME;
+        self.ended_instances
+            .insert(id.clone(), EndedProcess { incarnation, until });
+    }
+
+    /// Tells whether nothing listened lately at the address of this process of another instance.
+    pub fn has_ended(&self, now: Duration, id: &InstanceId, incarnation: u64) -> bool {
+        let ended = self.ended_instances.get(id);
+        ended.is_some_and(|e| e.incarnation == incarnation && e.until > now)
+    }
 }
--- a/src/gateway/relay_tries.rs
+++ b/src/gateway/relay_tries.rs
@@ -17,11 +17,17 @@
 /// request is relayed to no further one.
 const MAX_CUT_OFF_INSTANCES: usize = 4;
 
+/// Number of instances of a region at whose address nothing listens after which a request is relayed
+/// to no further one. Each costs a round trip, and the region may be lost as a whole.
+const MAX_ENDED_INSTANCES: usize = 16;
+
 /// Why an instance did not take a relayed request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotTaken {
-    /// The instance could not be reached.
+    /// The instance could not be reached, and may still run.
     NotReached,
+    /// Nothing listens at the instance's address.
+    Ended,
     /// The instance is cut off from the targets of its region.
     CutOff,
     /// The instance leaves.
@@ -35,7 +41,8 @@
     pub own: &'a InstanceId,
     /// The time of the instance's clock.
     pub now: Duration,
-    /// The instances that have lately said that they are cut off from their targets.
+    /// The instances that have lately said that they are cut off from their targets, or at whose
+    /// address nothing listened.
     pub reach: &'a Reach,
     /// The instances that have said that they leave.
     pub leaving: &'a LeavingInstances,
@@ -46,6 +53,9 @@
     pub fn allows(&self, member: &Member) -> bool {
         member.id != *self.own
             && !self.reach.avoids(self.now, &member.id)
+            && !self
+                .reach
+                .has_ended(self.now, &member.id, member.incarnation)
             && !self.leaving.contains(&member.id, member.incarnation)
     }
 }
@@ -55,6 +65,7 @@
 pub struct RelayTries<'a> {
     candidates: Vec<&'a Member>,
     unreachable: usize,
+    ended: usize,
     cut_off: usize,
 }
 
@@ -64,6 +75,7 @@
         Self {
             candidates: fleet.live_members(region).collect(),
             unreachable: 0,
+            ended: 0,
             cut_off: 0,
         }
     }
@@ -78,7 +90,7 @@
         if !self.may_continue() {
             return None;
         }
-        // Other requests may have learnt meanwhile that an instance leaves or is cut off.
+        // Other requests may have learnt meanwhile that an instance leaves, has ended or is cut off.
         self.candidates.retain(|member| filter.allows(member));
         if self.candidates.is_empty() {
             return None;
@@ -89,17 +101,23 @@
 
     /// Records that an instance did not take the request.
     ///
+    /// An ended process is counted apart: it fails a request at once, and each sender remembers it, so
+    /// that instances that stop in series leave the others of their region to the requests.
+    ///
     /// Leaving instances are not counted: they refuse at once, each tells a sender once, and they say
     /// nothing about the other instances of their region.
     pub fn record(&mut self, why: NotTaken) {
         match why {
             NotTaken::NotReached => self.unreachable += 1,
+            NotTaken::Ended => self.ended += 1,
             NotTaken::CutOff => self.cut_off += 1,
             NotTaken::Leaving => {}
         }
     }
 
     fn may_continue(&self) -> bool {
-        self.unreachable < MAX_UNREACHABLE_INSTANCES && self.cut_off < MAX_CUT_OFF_INSTANCES
+        self.unreachable < MAX_UNREACHABLE_INSTANCES
+            && self.ended < MAX_ENDED_INSTANCES
+            && self.cut_off < MAX_CUT_OFF_INSTANCES
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,6 +5,7 @@
 //! [`WireFormat`]. New messages use [`encode_named`] and [`decode_named`], so that later builds can
 //! add fields.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -46,7 +47,7 @@
 pub enum PeerError {
     /// No byte of the message can have reached the peer's handler.
     #[error("peer not reached: {0}")]
-    NotReached(String),
+    NotReached(Unreached),
     /// The stream failed or timed out; the message may have been handled.
     #[error("peer answer lost: {0}")]
     ResponseLost(String),
@@ -61,6 +62,50 @@
     Malformed(String),
 }
 
+/// Why a peer was not reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreached {
+    why: String,
+    nothing_listens: bool,
+}
+
+impl Unreached {
+    /// Creates the reason for a connection that was refused.
+    pub fn refused(why: String) -> Self {
+        Self {
+            why,
+            nothing_listens: true,
+        }
+    }
+
+    /// Tells whether the connection was refused, as nothing listens at the peer's address. A peer
+    /// that is silent or closes may still run.
+    pub fn nothing_listens(&self) -> bool {
+        self.nothing_listens
+    }
+}
+
+impl fmt::Display for Unreached {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.why)
+    }
+}
+
+impl From<String> for Unreached {
+    fn from(why: String) -> Self {
+        Self {
+            why,
+            nothing_listens: false,
+        }
+    }
+}
+
+impl From<&str> for Unreached {
+    fn from(why: &str) -> Self {
+        why.to_owned().into()
+    }
+}
+
 /// Sends messages to other instances.
 #[async_trait]
 pub trait Peers: Send + Sync {
@@ -84,9 +129,8 @@
         _message: Bytes,
         _timeout: Duration,
     ) -> Result<Relayed, PeerError> {
-        Err(PeerError::NotReached(format!(
-            "{to}: this connection does not support relayed messages"
-        )))
+        let why = format!("{to}: this connection does not support relayed messages");
+        Err(PeerError::NotReached(why.into()))
     }
 }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -20,7 +20,7 @@
 use crate::peer::frame::{FrameReader, read_all, release_window, send_all};
 use crate::peer::wire::{WireCall, WireFrame};
 use crate::peer::{
-    ASK_PATH, FORWARD_PATH, PeerError, Peers, RELAY_PATH, STREAM_WINDOW_BYTES, encode,
+    ASK_PATH, FORWARD_PATH, PeerError, Peers, RELAY_PATH, STREAM_WINDOW_BYTES, Unreached, encode,
 };
 use crate::refusal::{Code, Refusal};
 
@@ -59,7 +59,13 @@
 #[derive(Default)]
 struct PoolEntryState {
     connection: Option<Connection>,
-    failed_at: Option<Instant>,
+    failure: Option<ConnectFailure>,
+}
+
+/// The latest failed attempt to connect.
+struct ConnectFailure {
+    at: Instant,
+    error: PeerError,
 }
 
 impl PoolEntry {
@@ -146,29 +152,25 @@
         if let Some(connection) = state.connection.as_ref().filter(|c| c.is_open()) {
             return Ok(connection.clone());
         }
-        if state
-            .failed_at
-            .is_some_and(|failed_at| failed_at >= requested_at)
+        if let Some(failure) = &state.failure
+            && failure.at >= requested_at
         {
-            return Err(PeerError::NotReached(format!(
-                "{to}: a concurrent attempt to connect failed"
-            )));
+            return Err(failure.error.clone());
         }
-        match timeout(CONNECT_TIMEOUT, self.connect(to)).await {
+        let error = match timeout(CONNECT_TIMEOUT, self.connect(to)).await {
             Ok(Ok(connection)) => {
                 metrics::counter!("limpetstand_peer_connects_total").increment(1);
                 state.connection = Some(connection.clone());
-                Ok(connection)
-            }
-            Ok(Err(e)) => {
-                state.failed_at = Some(Instant::now());
-                Err(e)
-            }
-            Err(_) => {
-                state.failed_at = Some(Instant::now());
-                Err(PeerError::NotReached(format!("{to}: connect timed out")))
+                return Ok(connection);
             }
-        }
+            Ok(Err(e)) => e,
+            Err(_) => PeerError::NotReached(format!("{to}: connect timed out").into()),
+        };
+        state.failure = Some(ConnectFailure {
+            at: Instant::now(),
+            error: error.clone(),
+        });
+        Err(error)
     }
 
     fn pool_entry(&self, to: SocketAddr) -> Arc<PoolEntry> {
@@ -181,15 +183,19 @@
     }
 
     async fn connect(&self, to: SocketAddr) -> Result<Connection, PeerError> {
-        let stream = connect_from(self.source, to)
-            .await
-            .map_err(|e| PeerError::NotReached(format!("{to}: {e}")))?;
+        let stream = connect_from(self.source, to).await.map_err(|e| {
+            let why = format!("{to}: {e}");
+            PeerError::NotReached(match e.kind() {
+                std::io::ErrorKind::ConnectionRefused => Unreached::refused(why),
+                _ => why.into(),
+            })
+        })?;
         let (sender, mut driver) = h2::client::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(STREAM_WINDOW_BYTES * 16)
             .handshake::<_, Bytes>(stream)
             .await
-            .map_err(|e| PeerError::NotReached(format!("{to}: {e}")))?;
+            .map_err(|e| PeerError::NotReached(format!("{to}: {e}").into()))?;
         let state = Arc::new(ConnectionState::default());
         let pings = driver.ping_pong();
         let driver = tokio::spawn(async move {
@@ -211,7 +217,7 @@
         .sender
         .ready()
         .await
-        .map_err(|e| PeerError::NotReached(e.to_string()))?;
+        .map_err(|e| PeerError::NotReached(e.to_string().into()))?;
     let req = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{to}{path}"))
@@ -219,7 +225,7 @@
         .map_err(|e| PeerError::Malformed(e.to_string()))?;
     let (response, body) = sender
         .send_request(req, false)
-        .map_err(|e| PeerError::NotReached(e.to_string()))?;
+        .map_err(|e| PeerError::NotReached(e.to_string().into()))?;
     Ok(OpenStream {
         response,
         body,
@@ -296,7 +302,7 @@
         let opened = tokio::time::timeout_at(deadline, self.open(to, format!("{ASK_PATH}{kind}")));
         let stream = opened
             .await
-            .map_err(|_| PeerError::NotReached(format!("{to}: timed out")))??;
+            .map_err(|_| PeerError::NotReached(format!("{to}: timed out").into()))??;
         let answer = tokio::time::timeout_at(deadline, exchange_message(stream, kind, body))
             .await
             .map_err(|_| PeerError::ResponseLost(format!("{to}: timed out")))??;
@@ -338,7 +344,7 @@
         let opened = tokio::time::timeout_at(deadline, self.open(to, RELAY_PATH.to_owned()));
         let stream = opened
             .await
-            .map_err(|_| PeerError::NotReached(format!("{to}: timed out")))??;
+            .map_err(|_| PeerError::NotReached(format!("{to}: timed out").into()))??;
         tokio::time::timeout_at(deadline, send_relay(stream, message))
             .await
             .map_err(|_| PeerError::ResponseLost(format!("{to}: timed out")))?
@@ -414,7 +420,7 @@
     // If the stream was closed, the response says why.
     match response.await {
         Ok(response) => sent.map(|()| response),
-        Err(e) if is_not_handled(&e) => Err(PeerError::NotReached(e.to_string())),
+        Err(e) if is_not_handled(&e) => Err(PeerError::NotReached(e.to_string().into())),
         Err(e) => Err(PeerError::ResponseLost(e.to_string())),
     }
 }
--- a/tests/limits/live.rs
+++ b/tests/limits/live.rs
@@ -160,9 +160,7 @@
             .get(&to)
             .cloned();
         let Some(handler) = handler else {
-            return Err(PeerError::NotReached(
-                "no instance at this address".to_owned(),
-            ));
+            return Err(PeerError::NotReached("no instance at this address".into()));
         };
         let answer = handler.answer(body).await;
         sleep(delay).await;
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -310,7 +310,8 @@
         let error = relayed.map(drop).expect_err("no answer");
         let lost = matches!(error, PeerError::ResponseLost(_));
         assert_eq!(lost, is_reached, "{error}");
-        assert!(lost || matches!(error, PeerError::NotReached(_)), "{error}");
+        let may_listen = matches!(&error, PeerError::NotReached(why) if !why.nothing_listens());
+        assert!(lost || may_listen, "{error}");
     }
 }
 
@@ -355,7 +356,17 @@
     let asked = peers
         .ask(address, "echo", Bytes::new(), Duration::from_secs(5))
         .await;
-    assert!(matches!(asked, Err(PeerError::NotReached(_))));
+    assert!(matches!(asked, Err(PeerError::NotReached(why)) if why.nothing_listens()));
+    // Messages that wait for the connection of another one learn the same.
+    let wait = Duration::from_secs(5);
+    let relays = (0..20).map(|_| peers.relay(address, Bytes::from("x"), wait));
+    for relayed in futures_util::future::join_all(relays).await {
+        let error = relayed.map(drop).expect_err("no listener");
+        assert!(
+            matches!(&error, PeerError::NotReached(why) if why.nothing_listens()),
+            "{error}"
+        );
+    }
 }
 
 #[tokio::test]
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -40,3 +40,14 @@
     assert!(!reach.avoids(ms(3_000), &other));
     assert!(!reach.avoids(ms(1), &"i3".into()));
 }
+
+#[test]
+fn a_process_at_whose_address_nothing_listens_is_left_out_for_a_while() {
+    let mut reach = Reach::default();
+    let other = "i2".into();
+    reach.record_instance_ended(ms(0), &other, 7);
+    assert!(reach.has_ended(ms(2_999), &other, 7));
+    assert!(!reach.has_ended(ms(3_000), &other, 7), "the link may heal");
+    assert!(!reach.has_ended(ms(1), &other, 8), "it has restarted");
+    assert!(!reach.has_ended(ms(1), &"i3".into(), 7));
+}
--- a/tests/relay_tries.rs
+++ b/tests/relay_tries.rs
@@ -215,6 +215,52 @@
     }
 }
 
+/// Relays requests to a region of which some instances have ended and are still listed as live;
+/// returns the tries that the requests needed, and how many were refused.
+fn relay_beside_ended(instances: usize, ended: usize, seed: u64) -> (Tries, usize) {
+    let mut sender = Sender::new(instances, seed);
+    let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+    let (mut needed, mut refused) = (Tries::default(), 0);
+    for _ in 0..REQUESTS {
+        let mut tries = RelayTries::new(&fleet, &region);
+        let mut count = 0;
+        loop {
+            let Some(n) = sender.choose(&mut tries) else {
+                refused += 1;
+                break;
+            };
+            count += 1;
+            if n >= ended {
+                break;
+            }
+            let member = &fleet.members[n];
+            sender
+                .reach
+                .record_instance_ended(ms(0), &member.id, member.incarnation);
+            tries.record(NotTaken::Ended);
+        }
+        needed.most = needed.most.max(count);
+        needed.sum += count;
+    }
+    (needed, refused)
+}
+
+#[test]
+fn no_request_is_refused_while_a_third_of_a_region_has_ended_and_is_listed() {
+    for instances in [9, 62, 300] {
+        let in_region = instances / REGIONS;
+        for seed in 0..SEEDS {
+            let (tries, refused) = relay_beside_ended(instances, in_region / 3, seed);
+            assert_eq!(refused, 0, "{instances} instances, seed {seed}: {tries:?}");
+            // Each ended process fails one request of a sender.
+            assert!(tries.sum <= REQUESTS + in_region / 3, "{tries:?}");
+            // A region that is lost as a whole costs a request a bounded number of round trips.
+            let (tries, _) = relay_beside_ended(instances, in_region, seed);
+            assert!(tries.most <= 16, "{instances} instances: {tries:?}");
+        }
+    }
+}
+
 #[test]
 fn a_request_does_not_try_an_instance_of_which_another_learnt_that_it_leaves() {
     for instances in [9, 62, 300] {
