Take a refused connection for working links, and try sound targets

Callers of a region most of whose targets refuse connections got 503 no_target while a sound target stood idle: with ten such entries beside one sound target and one instance, 296 of 300 requests, for as long as the entries stood.

An instance that did not reach a target tried three targets at random and took itself for cut off if none accepted; but a refusal is an answer of the target's machine, so the links work, and only silence says nothing of the target. And a request gave up after two targets that it did not reach, however many were left.

A refused connection now shows that the links work (Probe::shows_link), also that of the attempt itself, which saves the tries. A request goes on to targets that are not ejected for half of its time (TargetTries); an unreached target has run nothing and is ejected, so each request leaves fewer of them to the next. Of ejected targets it tries two, as before, so that no request tries them all when all are dead. A retry that reaches no target is kept for the next send: a connection that was not opened is no arrival. An instance whose tries are all silent, or fail with another error than a refusal, is cut off as before.

Not covered: a middlebox that refuses in place of the targets; dead targets that are silent.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -64,6 +64,7 @@
 pub mod target_limits;
 mod target_query;
 mod target_stream;
+pub mod target_tries;
 pub mod tolerance;
 mod upstream;
 pub mod urgency;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -18,16 +18,13 @@
 use super::region;
 use super::target_attempt::AttemptError;
 use super::target_limits::{LimitedTargets, MAX_SEND_DELAY};
+use super::target_tries::TargetTries;
 use super::withdrawal::QuietEnd;
 use crate::id::{RegionId, TargetId};
 use crate::journal;
 use crate::member::Fleet;
 use crate::refusal::{Code, Ran, Refusal};
 
-/// Number of unreachable targets after which a request is not tried at further targets of the
-/// region.
-const MAX_UNREACHABLE_TARGETS: usize = 2;
-
 /// Time after an instance's start in which the instance sends nothing to cold targets. The instance
 /// does not yet know the other instances, nor what its previous process has sent.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
@@ -183,8 +180,9 @@
         late: &mut LateAnswers,
     ) -> Result<Reply, Failure> {
         let mut tried: Vec<TargetId> = job.silent_targets.clone();
-        let mut unreachable_targets = 0;
-        let mut first_send = true;
+        let mut tries = TargetTries::new(self.clock.now(), job.time_left());
+        // The first send needs no retry; a retry that reaches no target is kept for the next one.
+        let mut has_retry = true;
         let mut waited = false;
         if job.attempts == 0 {
             self.record_request(job);
@@ -220,9 +218,11 @@
                 return Err(failure);
             }
             let Placed { choice, place } = placed;
-            if !first_send && job.attempts > 0 && !self.try_take_retry(job) {
+            let may_try = tries.may_try(self.clock.now(), choice.ejected);
+            if !may_try || (!has_retry && job.attempts > 0 && !self.try_take_retry(job)) {
                 return Err(last_failure.unwrap_or_else(|| no_target_failure(job)));
             }
+            has_retry = true;
             if let Some(failure) = self.refuse_if_overloaded(job, &choice) {
                 return Err(failure);
             }
@@ -246,12 +246,9 @@
                 Ok(reply) => return Ok(reply),
                 Err(AttemptError::NotReached(why)) => {
                     self.eject_target(job, &choice, &why);
-                    unreachable_targets += 1;
+                    tries.record_not_reached();
                     let mut failure = no_target_failure(job);
                     failure.try_other_region = true;
-                    if unreachable_targets >= MAX_UNREACHABLE_TARGETS {
-                        return Err(failure);
-                    }
                     failure
                 }
                 Err(AttemptError::CutOff(why)) => {
@@ -264,7 +261,7 @@
                     return Err(failure);
                 }
                 Err(AttemptError::NotRun(why)) => {
-                    first_send = false;
+                    has_retry = false;
                     let refusal = if job.may_have_run {
                         Refusal::unknown(Code::Overloaded, why)
                     } else {
@@ -274,7 +271,7 @@
                     self.failure(job, refusal)
                 }
                 Err(AttemptError::Silent(attempt)) => {
-                    first_send = false;
+                    has_retry = false;
                     late.push(self, *attempt);
                     let refusal = Refusal::unknown(
                         Code::DeadlineExceeded,
@@ -284,7 +281,7 @@
                     self.failure(job, refusal)
                 }
                 Err(AttemptError::Unknown(refusal)) => {
-                    first_send = false;
+                    has_retry = false;
                     attempt_failed_line(job, &refusal).text("target", choice.id.as_str());
                     let failure = self.failure(job, refusal);
                     if !job.kind.may_repeat() {
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -10,7 +10,6 @@
 use tokio::time::sleep;
 
 use super::reach::{Link, Reach};
-use super::upstream::Probe;
 use super::{Gateway, lock};
 use crate::journal;
 
@@ -30,7 +29,7 @@
         self.reach().is_cut_off()
     }
 
-    /// Records that a connection to a target has been opened.
+    /// Records that the machine of a target has accepted or refused a connection.
     pub(super) fn record_connected(&self) {
         let now = self.clock.now();
         if self.reach().record_connected(now) {
@@ -49,10 +48,10 @@
         if let Some(is_cut_off) = self.known_cut_off(began) {
             return is_cut_off;
         }
-        let Some(connects) = self.try_targets_of_region().await else {
+        let Some(answered) = self.try_targets_of_region().await else {
             return false;
         };
-        if connects {
+        if answered {
             self.record_connected();
             return false;
         }
@@ -72,7 +71,7 @@
         }
     }
 
-    /// Tries a few targets at once; returns whether one accepts a connection, and `None` if the
+    /// Tries a few targets at once; returns whether the machine of one answers, and `None` if the
     /// region has no target.
     async fn try_targets_of_region(&self) -> Option<bool> {
         let addresses = self.some_targets();
@@ -84,7 +83,7 @@
             probes.push(self.upstream().probe(address));
         }
         while let Some(probe) = probes.next().await {
-            if probe == Probe::Accepted {
+            if probe.shows_link() {
                 return Some(true);
             }
         }
@@ -100,7 +99,7 @@
         own.choose_multiple(&mut rand::rng(), TARGETS_TRIED)
     }
 
-    /// Tries targets until one accepts a connection.
+    /// Tries targets until the machine of one answers.
     async fn wait_for_links(self: Arc<Self>) {
         while self.is_cut_off() {
             sleep(RETRY_PERIOD).await;
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -3,8 +3,9 @@
 //!
 //! An instance may lose its links to all targets while callers, the store and other instances still
 //! reach it. Its failed connections then say nothing about the targets. A failure is ascribed to the
-//! target only if this instance has connected to some target since the failed attempt began;
-//! otherwise it first tries to connect to a few targets.
+//! target only if the machine of some target has answered this instance since the failed attempt
+//! began; otherwise it first tries to connect to a few targets. A refused connection is an answer:
+//! no process listens there, but the links work.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,12 +15,42 @@
 /// How long an instance that has said that it is cut off gets no requests.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// The outcome of a try to connect to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// A process accepts connections.
+    Accepted,
+    /// No process listens on the address.
+    Refused,
+    /// The machine did not answer.
+    Unknown,
+}
+
+impl Probe {
+    /// The name in the journal.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Tells whether the target's machine has answered, so that this instance's links work.
+    pub fn shows_link(self) -> bool {
+        match self {
+            Self::Accepted | Self::Refused => true,
+            Self::Unknown => false,
+        }
+    }
+}
+
 /// What is known of this instance's links to targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Link {
-    /// The instance has connected to a target.
+    /// The machine of a target has answered.
     Connected,
-    /// The instance connects to no target.
+    /// No machine of a target answers.
     CutOff,
     /// The instance has to try.
     Unknown,
@@ -28,20 +59,20 @@
 /// This instance's experience with its links to targets, and what other instances say of theirs.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
-    connected_at: Option<Duration>,
+    answered_at: Option<Duration>,
     is_cut_off: bool,
     cut_off_instances: HashMap<InstanceId, Duration>,
 }
 
 impl Reach {
-    /// Records that a connection to a target has been opened. Returns whether the instance was cut
-    /// off until now.
+    /// Records that the machine of a target has accepted or refused a connection. Returns whether
+    /// the instance was cut off until now.
     pub fn record_connected(&mut self, now: Duration) -> bool {
-        self.connected_at = Some(now);
+        self.answered_at = Some(now);
         std::mem::take(&mut self.is_cut_off)
     }
 
-    /// Records that none of the tried targets has accepted a connection. Returns whether that is
+    /// Records that the machine of none of the tried targets has answered. Returns whether that is
     /// news.
     pub fn record_cut_off(&mut self) -> bool {
         !std::mem::replace(&mut self.is_cut_off, true)
@@ -57,7 +88,7 @@
         if self.is_cut_off {
             return Link::CutOff;
         }
-        match self.connected_at {
+        match self.answered_at {
             Some(at) if at > began => Link::Connected,
             _ => Link::Unknown,
         }
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -91,6 +91,10 @@
                 }
                 Ok(connection)
             }
+            Err(e) if e.probe.shows_link() => {
+                self.record_connected();
+                Err(AttemptError::NotReached(e.to_string()))
+            }
             Err(e) if self.was_cut_off(began).await => Err(AttemptError::CutOff(e.to_string())),
             Err(e) => Err(AttemptError::NotReached(e.to_string())),
         }
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use limpetstand::gateway::reach::{Link, Reach};
+use limpetstand::gateway::reach::{Link, Probe, Reach};
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -40,3 +40,10 @@
     assert!(!reach.avoids(ms(3_000), &other));
     assert!(!reach.avoids(ms(1), &"i3".into()));
 }
+
+#[test]
+fn a_refused_connection_shows_that_the_links_work() {
+    assert!(Probe::Accepted.shows_link());
+    assert!(Probe::Refused.shows_link());
+    assert!(!Probe::Unknown.shows_link());
+}
