Try the targets that answered last before taking links for lost

Callers of a region most of whose targets are silent (machines without power) got 503 no_target while a sound target stood idle: with ten silent entries beside one sound target and one instance, 178 of 300 requests, sent after 8 s in which the instance could find out.

Cause: an instance that did not reach a target tried three targets of its region at random. With ten silent ones of eleven these are all silent in eight of eleven tries, so the instance took itself for cut off, refused its callers for 500 ms and more, ejected none of the silent targets, and began anew with the next one.

The three now are the two addresses that have answered last and one at random (Reach::addresses_to_try). An instance whose links are lost finds all three silent, in the same time as before. One that knows no target yet, as it has just started, may still take itself for cut off; it then tries six and afterwards twelve targets every 500 ms in place of three, so that it soon finds one that answers.

Test: dead_entries, ten entries whose machine drops what arrives, 100 requests each on a safe, an unsafe and a streamed route after 8 s, twice the longest ejection; the requests before are the first that find out, each of which may wait for several connects.

--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -6,19 +6,25 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 
 use super::reach::{Link, Reach};
 use super::{Gateway, lock};
 use crate::journal;
 
-/// Number of targets that are tried before the instance takes itself for cut off.
-const TARGETS_TRIED: usize = 3;
-
 /// Time between two tries of an instance that is cut off.
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
 
+/// The outcome of tries to connect to targets of the region.
+enum Tries {
+    /// The region has no target.
+    NoTarget,
+    /// The machine of a target has accepted or refused a connection.
+    Answered,
+    /// None of so many machines has answered.
+    Silent(usize),
+}
+
 impl Gateway {
     pub(super) fn reach(&self) -> MutexGuard<'_, Reach> {
         lock(&self.reach)
@@ -29,10 +35,15 @@
         self.reach().is_cut_off()
     }
 
-    /// Records that the machine of a target has accepted or refused a connection.
-    pub(super) fn record_connected(&self) {
+    /// Records that the machine of a target has accepted or refused a connection, or with `None`
+    /// that the region has no target to try.
+    pub(super) fn record_connected(&self, address: Option<SocketAddr>) {
         let now = self.clock.now();
-        if self.reach().record_connected(now) {
+        let mut reach = self.reach();
+        if let Some(address) = address {
+            reach.record_answer_of(address);
+        }
+        if reach.record_connected(now) {
             journal::line("targets_back");
         }
     }
@@ -48,16 +59,13 @@
         if let Some(is_cut_off) = self.known_cut_off(began) {
             return is_cut_off;
         }
-        let Some(answered) = self.try_targets_of_region().await else {
-            return false;
+        let tried = match self.try_targets_of_region(0).await {
+            Tries::NoTarget | Tries::Answered => return false,
+            Tries::Silent(tried) => tried,
         };
-        if answered {
-            self.record_connected();
-            return false;
-        }
         if self.reach().record_cut_off() {
             metrics::counter!("limpetstand_cut_off_total").increment(1);
-            journal::line("targets_lost").value("tried", TARGETS_TRIED);
+            journal::line("targets_lost").value("tried", tried);
             tokio::spawn(Arc::clone(self).wait_for_links());
         }
         true
@@ -71,40 +79,47 @@
         }
     }
 
-    /// Tries a few targets at once; returns whether the machine of one answers, and `None` if the
-    /// region has no target.
-    async fn try_targets_of_region(&self) -> Option<bool> {
-        let addresses = self.some_targets();
-        if addresses.is_empty() {
-            return None;
+    /// Tries a few targets at once until the machine of one answers.
+    async fn try_targets_of_region(&self, round: u32) -> Tries {
+        let addresses = self.addresses_of_region();
+        let chosen = self
+            .reach()
+            .addresses_to_try(&addresses, round, &mut rand::rng());
+        if chosen.is_empty() {
+            return Tries::NoTarget;
         }
+        let tried = chosen.len();
         let mut probes = FuturesUnordered::new();
-        for address in addresses {
-            probes.push(self.upstream().probe(address));
+        for address in chosen {
+            let probe = self.upstream().probe(address);
+            probes.push(async move { (address, probe.await) });
         }
-        while let Some(probe) = probes.next().await {
+        while let Some((address, probe)) = probes.next().await {
             if probe.shows_link() {
-                return Some(true);
+                self.record_connected(Some(address));
+                return Tries::Answered;
             }
         }
-        Some(false)
+        Tries::Silent(tried)
     }
 
-    fn some_targets(&self) -> Vec<SocketAddr> {
+    fn addresses_of_region(&self) -> Vec<SocketAddr> {
         let view = self.view();
         let entries = view.targets.values().map(|known| &known.entry);
-        let own = entries
+        entries
             .filter(|entry| view.region_of(&entry.data_centre) == Some(&self.region))
-            .map(|entry| entry.address);
-        own.choose_multiple(&mut rand::rng(), TARGETS_TRIED)
+            .map(|entry| entry.address)
+            .collect()
     }
 
     /// Tries targets until the machine of one answers.
     async fn wait_for_links(self: Arc<Self>) {
+        let mut round = 0;
         while self.is_cut_off() {
             sleep(RETRY_PERIOD).await;
-            if self.try_targets_of_region().await != Some(false) {
-                self.record_connected();
+            round += 1;
+            if let Tries::NoTarget = self.try_targets_of_region(round).await {
+                self.record_connected(None);
             }
         }
     }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -8,13 +8,26 @@
 //! no process listens there, but the links work.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 use crate::id::InstanceId;
 
 /// How long an instance that has said that it is cut off gets no requests.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
+/// Number of targets that are tried before the instance takes itself for cut off.
+const TARGETS_TRIED: usize = 3;
+
+/// Largest number of targets that an instance that is cut off tries at a time.
+const MAX_TARGETS_TRIED: usize = 12;
+
+/// Number of addresses that have answered last which are tried first.
+const ADDRESSES_KEPT: usize = 2;
+
 /// The outcome of a try to connect to a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Probe {
@@ -60,6 +73,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
     answered_at: Option<Duration>,
+    /// The addresses that have answered last, the latest first.
+    last_answered: Vec<SocketAddr>,
     is_cut_off: bool,
     cut_off_instances: HashMap<InstanceId, Duration>,
 }
@@ -72,6 +87,34 @@
         std::mem::take(&mut self.is_cut_off)
     }
 
+    /// Records the address that has accepted or refused a connection.
+    pub fn record_answer_of(&mut self, address: SocketAddr) {
+        self.last_answered.retain(|a| *a != address);
+        self.last_answered.insert(0, address);
+        self.last_answered.truncate(ADDRESSES_KEPT);
+    }
+
+    /// Chooses the addresses to try out of those of a region: those that have answered last, and
+    /// others at random.
+    ///
+    /// Where most targets are silent, a few at random would not tell this from lost links. `round`
+    /// counts the tries since the instance was found to be cut off; each takes more addresses.
+    pub fn addresses_to_try(
+        &self,
+        addresses: &[SocketAddr],
+        round: u32,
+        rng: &mut impl Rng,
+    ) -> Vec<SocketAddr> {
+        let n = TARGETS_TRIED.saturating_mul(2_usize.saturating_pow(round));
+        let n = n.min(MAX_TARGETS_TRIED);
+        let mut chosen = self.last_answered.clone();
+        chosen.retain(|a| addresses.contains(a));
+        let others = addresses.iter().filter(|a| !chosen.contains(a)).copied();
+        let others = others.choose_multiple(rng, n - chosen.len());
+        chosen.extend(others);
+        chosen
+    }
+
     /// Records that the machine of none of the tried targets has answered. Returns whether that is
     /// news.
     pub fn record_cut_off(&mut self) -> bool {
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -87,12 +87,12 @@
         match self.upstream().connection(address, force_new).await {
             Ok(connection) => {
                 if !connection.is_reused() {
-                    self.record_connected();
+                    self.record_connected(Some(address));
                 }
                 Ok(connection)
             }
             Err(e) if e.probe.shows_link() => {
-                self.record_connected();
+                self.record_connected(Some(address));
                 Err(AttemptError::NotReached(e.to_string()))
             }
             Err(e) if self.was_cut_off(began).await => Err(AttemptError::CutOff(e.to_string())),
