Tell dead targets from links that refuse connections by trying further ones

A link may refuse connections as well (a partition that answers with resets, a firewall): an instance cut off in this way would have ejected one target after the other and refused its callers, where before it relayed them to other instances of its own region.

A refusal alone says neither, but takes no time. So the tries go on as long as some address refuses, until a target accepts a connection or all have been tried (`LinkTries`): one sound target beside any number of dead ones shows that the links work, and where all refuse the instance takes itself for cut off as before. The silent are bounded as before. tests/reach.rs plays one sound target, none that accepts and none that answers at 1, 3, 9, 62 and 300 targets; the test of dead entries and those of cut-off instances are unchanged.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::job::{Failure, Job};
-use super::reach::Probe;
+use super::upstream::Probe;
 use super::{Gateway, lock};
 use crate::id::TargetId;
 use crate::journal;
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::reach::{Link, Reach};
+use super::upstream::Probe;
 use super::{Gateway, lock};
 use crate::journal;
 
@@ -19,10 +20,10 @@
 enum Tries {
     /// The region has no target.
     NoTarget,
-    /// The machine of a target has accepted or refused a connection.
-    Answered,
-    /// None of so many machines has answered.
-    Silent(usize),
+    /// A target has accepted a connection.
+    Accepted,
+    /// None of so many targets has accepted one.
+    NoneAccepted(usize),
 }
 
 impl Gateway {
@@ -35,13 +36,13 @@
         self.reach().is_cut_off()
     }
 
-    /// Records that the machine of a target has accepted or refused a connection, or with `None`
-    /// that the region has no target to try.
+    /// Records that a target has accepted a connection, or with `None` that the region has no target to
+    /// try.
     pub(super) fn record_connected(&self, address: Option<SocketAddr>) {
         let now = self.clock.now();
         let mut reach = self.reach();
         if let Some(address) = address {
-            reach.record_answer_of(address);
+            reach.record_accepted(address);
         }
         if reach.record_connected(now) {
             journal::line("targets_back");
@@ -60,8 +61,8 @@
             return is_cut_off;
         }
         let tried = match self.try_targets_of_region(0).await {
-            Tries::NoTarget | Tries::Answered => return false,
-            Tries::Silent(tried) => tried,
+            Tries::NoTarget | Tries::Accepted => return false,
+            Tries::NoneAccepted(tried) => tried,
         };
         if self.reach().record_cut_off() {
             metrics::counter!("limpetstand_cut_off_total").increment(1);
@@ -79,28 +80,36 @@
         }
     }
 
-    /// Tries a few targets at once until the machine of one answers.
+    /// Tries targets until one accepts a connection.
     async fn try_targets_of_region(&self, round: u32) -> Tries {
         let addresses = self.addresses_of_region();
-        let chosen = self
-            .reach()
-            .addresses_to_try(&addresses, round, &mut rand::rng());
-        if chosen.is_empty() {
+        if addresses.is_empty() {
             return Tries::NoTarget;
         }
-        let tried = chosen.len();
-        let mut probes = FuturesUnordered::new();
-        for address in chosen {
-            let probe = self.upstream().probe(address);
-            probes.push(async move { (address, probe.await) });
-        }
-        while let Some((address, probe)) = probes.next().await {
-            if probe.shows_link() {
-                self.record_connected(Some(address));
-                return Tries::Answered;
+        let mut tries = self.reach().link_tries(&addresses, round, &mut rand::rng());
+        let mut tried = 0;
+        loop {
+            let batch = tries.next_batch();
+            if batch.is_empty() {
+                return Tries::NoneAccepted(tried);
+            }
+            tried += batch.len();
+            let mut probes = FuturesUnordered::new();
+            for address in batch {
+                let probe = self.upstream().probe(address);
+                probes.push(async move { (address, probe.await) });
+            }
+            while let Some((address, probe)) = probes.next().await {
+                match probe {
+                    Probe::Accepted => {
+                        self.record_connected(Some(address));
+                        return Tries::Accepted;
+                    }
+                    Probe::Refused => tries.record_refused(),
+                    Probe::Unknown => {}
+                }
             }
         }
-        Tries::Silent(tried)
     }
 
     fn addresses_of_region(&self) -> Vec<SocketAddr> {
@@ -112,7 +121,7 @@
             .collect()
     }
 
-    /// Tries targets until the machine of one answers.
+    /// Tries targets until one accepts a connection.
     async fn wait_for_links(self: Arc<Self>) {
         let mut round = 0;
         while self.is_cut_off() {
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -3,16 +3,15 @@
 //!
 //! An instance may lose its links to all targets while callers, the store and other instances still
 //! reach it. Its failed connections then say nothing about the targets. A failure is ascribed to the
-//! target only if the machine of some target has answered this instance since the failed attempt
-//! began; otherwise it first tries to connect to a few targets. A refused connection is an answer:
-//! no process listens there, but the links work.
+//! target only if this instance has connected to some target since the failed attempt began;
+//! otherwise it first tries to connect to a few targets.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 
 use crate::id::InstanceId;
 
@@ -26,48 +25,18 @@
 /// Number of targets that are tried before the instance takes itself for cut off.
 const TARGETS_TRIED: usize = 3;
 
-/// Largest number of targets that an instance that is cut off tries at a time.
+/// Largest number of targets that are tried at a time.
 const MAX_TARGETS_TRIED: usize = 12;
 
-/// Number of addresses that have answered last which are tried first.
+/// Number of addresses that have accepted a connection last which are tried first.
 const ADDRESSES_KEPT: usize = 2;
 
-/// The outcome of a try to connect to a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Probe {
-    /// A process accepts connections.
-    Accepted,
-    /// No process listens on the address.
-    Refused,
-    /// The machine did not answer.
-    Unknown,
-}
-
-impl Probe {
-    /// The name in the journal.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Refused => "refused",
-            Self::Unknown => "unknown",
-        }
-    }
-
-    /// Tells whether the target's machine has answered, so that this instance's links work.
-    pub fn shows_link(self) -> bool {
-        match self {
-            Self::Accepted | Self::Refused => true,
-            Self::Unknown => false,
-        }
-    }
-}
-
 /// What is known of this instance's links to targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Link {
-    /// The machine of a target has answered.
+    /// The instance has connected to a target.
     Connected,
-    /// No machine of a target answers.
+    /// The instance connects to no target.
     CutOff,
     /// The instance has to try.
     Unknown,
@@ -76,9 +45,9 @@
 /// This instance's experience with its links to targets, and what other instances say of theirs.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
-    answered_at: Option<Duration>,
-    /// The addresses that have answered last, the latest first.
-    last_answered: Vec<SocketAddr>,
+    connected_at: Option<Duration>,
+    /// The addresses that have accepted a connection last, the latest first.
+    last_accepted: Vec<SocketAddr>,
     is_cut_off: bool,
     cut_off_instances: HashMap<InstanceId, Duration>,
     ended_instances: HashMap<InstanceId, EndedProcess>,
@@ -90,43 +59,69 @@
     until: Duration,
 }
 
+/// The targets that are tried to tell failed targets from lost links.
+///
+/// Where most targets are silent, a few at random would not tell the two apart, so those that have
+/// accepted a connection last come first. A refused connection may come from a dead target or from a
+/// link that refuses connections; it takes no time, so further targets are tried until one accepts.
+#[derive(Debug, Clone)]
+pub struct LinkTries {
+    untried: Vec<SocketAddr>,
+    /// Number of addresses to try next.
+    next: usize,
+}
+
+impl LinkTries {
+    /// Takes the addresses that are tried next, at once; none if the tries have ended.
+    pub fn next_batch(&mut self) -> Vec<SocketAddr> {
+        let n = std::mem::take(&mut self.next).min(self.untried.len());
+        self.untried.drain(..n).collect()
+    }
+
+    /// Records that a tried address refuses connections.
+    pub fn record_refused(&mut self) {
+        self.next = MAX_TARGETS_TRIED;
+    }
+}
+
 impl Reach {
-    /// Records that the machine of a target has accepted or refused a connection. Returns whether
-    /// the instance was cut off until now.
+    /// Records that a connection to a target has been opened. Returns whether the instance was cut
+    /// off until now.
     pub fn record_connected(&mut self, now: Duration) -> bool {
-        self.answered_at = Some(now);
+        self.connected_at = Some(now);
         std::mem::take(&mut self.is_cut_off)
     }
 
-    /// Records the address that has accepted or refused a connection.
-    pub fn record_answer_of(&mut self, address: SocketAddr) {
-        self.last_answered.retain(|a| *a != address);
-        self.last_answered.insert(0, address);
-        self.last_answered.truncate(ADDRESSES_KEPT);
+    /// Records the address that has accepted a connection.
+    pub fn record_accepted(&mut self, address: SocketAddr) {
+        self.last_accepted.retain(|a| *a != address);
+        self.last_accepted.insert(0, address);
+        self.last_accepted.truncate(ADDRESSES_KEPT);
     }
 
-    /// Chooses the addresses to try out of those of a region: those that have answered last, and
-    /// others at random.
-    ///
-    /// Where most targets are silent, a few at random would not tell this from lost links. `round`
-    /// counts the tries since the instance was found to be cut off; each takes more addresses.
-    pub fn addresses_to_try(
+    /// Begins the tries of the addresses of a region: those that have accepted a connection last, then
+    /// others at random. `round` counts the tries since the instance was found to be cut off; each
+    /// begins with more addresses.
+    pub fn link_tries(
         &self,
         addresses: &[SocketAddr],
         round: u32,
         rng: &mut impl Rng,
-    ) -> Vec<SocketAddr> {
-        let n = TARGETS_TRIED.saturating_mul(2_usize.saturating_pow(round));
-        let n = n.min(MAX_TARGETS_TRIED);
-        let mut chosen = self.last_answered.clone();
-        chosen.retain(|a| addresses.contains(a));
-        let others = addresses.iter().filter(|a| !chosen.contains(a)).copied();
-        let others = others.choose_multiple(rng, n - chosen.len());
-        chosen.extend(others);
-        chosen
+    ) -> LinkTries {
+        let mut untried = self.last_accepted.clone();
+        untried.retain(|a| addresses.contains(a));
+        let mut others = addresses.to_vec();
+        others.retain(|a| !untried.contains(a));
+        others.shuffle(rng);
+        untried.extend(others);
+        let first = TARGETS_TRIED.saturating_mul(2_usize.saturating_pow(round));
+        LinkTries {
+            untried,
+            next: first.min(MAX_TARGETS_TRIED),
+        }
     }
 
-    /// Records that the machine of none of the tried targets has answered. Returns whether that is
+    /// Records that none of the tried targets has accepted a connection. Returns whether that is
     /// news.
     pub fn record_cut_off(&mut self) -> bool {
         !std::mem::replace(&mut self.is_cut_off, true)
@@ -142,7 +137,7 @@
         if self.is_cut_off {
             return Link::CutOff;
         }
-        match self.answered_at {
+        match self.connected_at {
             Some(at) if at > began => Link::Connected,
             _ => Link::Unknown,
         }
--- a/src/gateway/target_attempt.rs
+++ b/src/gateway/target_attempt.rs
@@ -91,10 +91,6 @@
                 }
                 Ok(connection)
             }
-            Err(e) if e.probe.shows_link() => {
-                self.record_connected(Some(address));
-                Err(AttemptError::NotReached(e.to_string()))
-            }
             Err(e) if self.was_cut_off(began).await => Err(AttemptError::CutOff(e.to_string())),
             Err(e) => Err(AttemptError::NotReached(e.to_string())),
         }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,7 +1,6 @@
 //! Opens HTTP/1 connections to targets and keeps idle connections for reuse.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -18,7 +17,6 @@
 
 use super::attempt_timeout::MAX_TARGET_SILENCE;
 use super::lock;
-use super::reach::Probe;
 use super::target_stream::{HeadLimit, MAX_ANSWER_HEAD_BYTES, TargetStream};
 use crate::peer::connect_from;
 
@@ -54,40 +52,27 @@
     Broke(String),
 }
 
-/// Why no connection was opened.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("request not sent: {why}")]
-pub(super) struct ConnectError {
-    /// What the try tells about the target.
-    pub probe: Probe,
-    why: String,
+/// What a new connection tells about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Probe {
+    /// A process accepts connections.
+    Accepted,
+    /// No process listens on the address.
+    Refused,
+    /// The machine did not answer.
+    Unknown,
 }
 
-impl ConnectError {
-    fn unknown(why: impl ToString) -> Self {
-        Self {
-            probe: Probe::Unknown,
-            why: why.to_string(),
+impl Probe {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
         }
     }
 }
 
-impl From<io::Error> for ConnectError {
-    fn from(e: io::Error) -> Self {
-        Self {
-            probe: probe_of(&e),
-            why: e.to_string(),
-        }
-    }
-}
-
-fn probe_of(e: &io::Error) -> Probe {
-    match e.kind() {
-        io::ErrorKind::ConnectionRefused => Probe::Refused,
-        _ => Probe::Unknown,
-    }
-}
-
 /// A connection to a target.
 pub(super) struct Connection {
     address: SocketAddr,
@@ -127,13 +112,14 @@
         &self,
         address: SocketAddr,
         force_new: bool,
-    ) -> Result<Connection, ConnectError> {
+    ) -> Result<Connection, SendError> {
         if !force_new && let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
         match timeout(CONNECT_TIMEOUT, self.connect(address)).await {
-            Ok(result) => result,
-            Err(_) => Err(ConnectError::unknown("connect timed out")),
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(e)) => Err(SendError::NotSent(e)),
+            Err(_) => Err(SendError::NotSent("connect timed out".to_owned())),
         }
     }
 
@@ -141,8 +127,8 @@
     pub(super) async fn probe(&self, address: SocketAddr) -> Probe {
         match timeout(CONNECT_TIMEOUT, connect_from(self.source, address)).await {
             Ok(Ok(_)) => Probe::Accepted,
-            Ok(Err(e)) => probe_of(&e),
-            Err(_) => Probe::Unknown,
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+            _ => Probe::Unknown,
         }
     }
 
@@ -194,15 +180,17 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        let stream = open_stream(self.source, address).await?;
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
+        let stream = open_stream(self.source, address)
+            .await
+            .map_err(|e| e.to_string())?;
         let head_limit = HeadLimit::default();
         let stream = TargetStream::new(stream, head_limit.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_ANSWER_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(ConnectError::unknown)?;
+            .map_err(|e| e.to_string())?;
         metrics::counter!("limpetstand_target_connects_total").increment(1);
         tokio::spawn(async move {
             // The request on this connection receives the error.
@@ -255,7 +243,7 @@
 }
 
 /// Opens a TCP connection that fails soon after its peer disappears without closing the connection.
-async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+async fn open_stream(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = connect_from(source, address).await?;
     let options = SockRef::from(&stream);
     // Bounds how long the peer may acknowledge neither sent bytes nor probes, or take no bytes.
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use limpetstand::gateway::reach::{Link, Probe, Reach};
+use limpetstand::gateway::reach::{Link, LinkTries, Reach};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -56,13 +56,6 @@
     assert!(!reach.has_ended(ms(1), &"i3".into(), 7));
 }
 
-#[test]
-fn a_refused_connection_shows_that_the_links_work() {
-    assert!(Probe::Accepted.shows_link());
-    assert!(Probe::Refused.shows_link());
-    assert!(!Probe::Unknown.shows_link());
-}
-
 /// Numbers of targets in a region.
 const SIZES: [u16; 5] = [1, 3, 9, 62, 300];
 
@@ -72,31 +65,87 @@
     addresses.collect()
 }
 
+/// What a target does with a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Does {
+    Accept,
+    Refuse,
+    Nothing,
+}
+
+/// Plays the tries of an instance; returns whether a target accepts, and how many are tried.
+fn play(mut tries: LinkTries, does: impl Fn(SocketAddr) -> Does) -> (bool, usize) {
+    let mut tried = HashSet::new();
+    loop {
+        let batch = tries.next_batch();
+        if batch.is_empty() {
+            return (false, tried.len());
+        }
+        for address in batch {
+            assert!(tried.insert(address), "{address} twice");
+            match does(address) {
+                Does::Accept => return (true, tried.len()),
+                Does::Refuse => tries.record_refused(),
+                Does::Nothing => {}
+            }
+        }
+    }
+}
+
 #[test]
-fn an_instance_whose_last_target_answers_is_not_cut_off_however_many_are_silent() {
+fn an_instance_whose_last_target_accepts_is_not_cut_off_however_many_are_silent() {
     for size in SIZES {
         let all = addresses(size);
         for seed in 0..50 {
             let mut rng = StdRng::seed_from_u64(seed);
             let mut reach = Reach::default();
             let sound = all[usize::from(size / 2)];
-            reach.record_answer_of(sound);
-            // A target that answered later has failed since.
-            reach.record_answer_of(all[0]);
-            let tried = reach.addresses_to_try(&all, 0, &mut rng);
-            let is_answered = tried.iter().any(|address| {
-                let probe = if *address == sound {
-                    Probe::Accepted
-                } else {
-                    Probe::Unknown
-                };
-                probe.shows_link()
-            });
-            assert!(is_answered, "{size} targets, seed {seed}: {tried:?}");
+            reach.record_accepted(sound);
+            // A target that accepted later has failed since.
+            reach.record_accepted(all[0]);
+            let tries = reach.link_tries(&all, 0, &mut rng);
+            let does = |address| match address == sound {
+                true => Does::Accept,
+                false => Does::Nothing,
+            };
+            let (accepted, _) = play(tries, does);
+            assert!(accepted, "{size} targets, seed {seed}");
         }
     }
 }
 
+#[test]
+fn an_instance_with_one_target_that_accepts_is_not_cut_off_however_many_refuse() {
+    for size in SIZES {
+        let all = addresses(size);
+        let sound = all[usize::from(size / 2)];
+        for seed in 0..50 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let tries = Reach::default().link_tries(&all, 0, &mut rng);
+            let does = |address| match address == sound {
+                true => Does::Accept,
+                false => Does::Refuse,
+            };
+            let (accepted, _) = play(tries, does);
+            assert!(accepted, "{size} targets, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn an_instance_whose_links_are_lost_is_cut_off_whether_they_are_silent_or_refuse() {
+    for size in SIZES {
+        let all = addresses(size);
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut reach = Reach::default();
+        reach.record_accepted(all[0]);
+        let silent = reach.link_tries(&all, 0, &mut rng);
+        assert_eq!(play(silent, |_| Does::Nothing), (false, all.len().min(3)));
+        let refusing = reach.link_tries(&all, 0, &mut rng);
+        assert_eq!(play(refusing, |_| Does::Refuse), (false, all.len()));
+    }
+}
+
 #[test]
 fn an_instance_that_is_cut_off_tries_more_targets_each_time() {
     for size in SIZES {
@@ -104,10 +153,10 @@
         let mut rng = StdRng::seed_from_u64(1);
         let mut reach = Reach::default();
         // Not one of the region any more.
-        reach.record_answer_of((Ipv4Addr::LOCALHOST, 400).into());
-        reach.record_answer_of(all[0]);
+        reach.record_accepted((Ipv4Addr::LOCALHOST, 400).into());
+        reach.record_accepted(all[0]);
         for (round, expected) in [(0, 3), (1, 6), (2, 12), (3, 12), (u32::MAX, 12)] {
-            let tried = reach.addresses_to_try(&all, round, &mut rng);
+            let tried = reach.link_tries(&all, round, &mut rng).next_batch();
             assert_eq!(tried.len(), all.len().min(expected), "{size} targets");
             let distinct: HashSet<_> = tried.iter().collect();
             assert_eq!(distinct.len(), tried.len());
