Forget loans to ended runs only, not to a name

Cause: a restarted instance announces `Ended` with its name, each tick until all live holders have confirmed. `Account::drop_loans_with` forgot all loans lent to that name. The new process borrows from its first request on, so each announcement gave the lender its part back while the new process went on using the loan.

`Ended` now makes its receiver drop only what it borrowed from the name. When all live holders have confirmed, the new message `EndedBorrower` names the ended runs by their incarnations in the ledger, and lenders forget loans to these. It stays true however late or often it arrives, and it comes when the live holders no longer use what those runs lent on. Loan ids carry the borrower's incarnation in the ledger, also after it was closed and joined again. A loan of an ended run that arrives after `Ended` is not taken in.

The layouts of the other messages do not change; the new kind is the last of the enum.

The test drop_loans_with_reports_whether_anything_was_borrowed follows the function's new name; its checks are the same.

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -91,6 +91,8 @@
     lent: BTreeMap<LoanId, LentLoan>,
     borrowed: BTreeMap<LoanId, BorrowedLoan>,
     open_requests: BTreeMap<LoanId, Duration>,
+    /// When a process of each lender was last announced to have ended.
+    ended_lenders: BTreeMap<InstanceId, Duration>,
     bucket: Bucket,
     holds_until: Duration,
     demand: Demand,
@@ -107,6 +109,7 @@
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
             open_requests: BTreeMap::new(),
+            ended_lenders: BTreeMap::new(),
             bucket: Bucket::empty(now),
             holds_until: now,
             demand: Demand::zero(now),
@@ -429,15 +432,16 @@
         Some(loan)
     }
 
-    /// Adds a loan from another instance if this account requested the loan and the loan has not
-    /// ended; otherwise returns `false`.
+    /// Adds a loan from another instance if this account requested the loan, and neither the loan
+    /// nor the lender's process has ended since; otherwise returns `false`.
     pub fn accept_loan(&mut self, now: Duration, from: &InstanceId, loan: &Loan) -> bool {
         self.advance(now);
         let Some(requested_at) = self.open_requests.remove(&loan.id) else {
             return false;
         };
         let until = requested_at + borrower_term(loan.term);
-        if until <= now {
+        let lender_ended_at = self.ended_lenders.get(from);
+        if until <= now || lender_ended_at.is_some_and(|at| requested_at <= *at) {
             return false;
         }
         let borrowed = BorrowedLoan {
@@ -550,18 +554,31 @@
         returns
     }
 
-    /// Drops the loans from and to an instance whose process has ended, without returning them.
+    /// Drops the loans from an instance whose process has ended, without returning them; returns
+    /// whether there were any. Loans of that process that arrive later are not taken in.
     ///
-    /// Returns whether a loan was borrowed from the instance.
-    pub fn drop_loans_with(&mut self, now: Duration, ended: &InstanceId) -> bool {
+    /// The loans of the instance's next process are dropped too if it has lent already. That is
+    /// safe, as the lender keeps them deducted until their terms end.
+    pub fn drop_loans_from(&mut self, now: Duration, ended: &InstanceId) -> bool {
         self.advance(now);
+        self.ended_lenders.insert(ended.clone(), now);
         let loans_before = self.borrowed.len();
         self.borrowed.retain(|_, borrowed| borrowed.from != *ended);
-        self.lent.retain(|_, lent| lent.to != *ended);
         self.resize_bucket();
         self.borrowed.len() < loans_before
     }
 
+    /// Drops the loans to ended incarnations of an instance, without their tokens.
+    ///
+    /// The caller ensures that no other instance uses what these incarnations have lent on. Loans to
+    /// other incarnations of the instance stay, as its next process may use them already.
+    pub fn drop_loans_to(&mut self, now: Duration, borrower: &InstanceId, incarnations: &[u64]) {
+        self.advance(now);
+        self.lent
+            .retain(|id, lent| lent.to != *borrower || !incarnations.contains(&id.borrower));
+        self.resize_bucket();
+    }
+
     /// Returns to `lender` the free part of the loans borrowed from `lender`, at most `max_part`.
     pub fn return_to_lender(
         &mut self,
@@ -683,6 +700,8 @@
         self.bucket.advance(now);
         self.open_requests
             .retain(|_, requested_at| now.saturating_sub(*requested_at) < MAX_TERM);
+        self.ended_lenders
+            .retain(|_, ended_at| now.saturating_sub(*ended_at) < MAX_TERM);
     }
 
     fn next_loan_end(&self, now: Duration) -> Option<Duration> {
--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -192,6 +192,12 @@
         active.min_by_key(|h| h.part)
     }
 
+    /// Returns the incarnations of an instance that are in the ledger.
+    pub fn incarnations<'a>(&'a self, instance: &'a InstanceId) -> impl Iterator<Item = u64> + 'a {
+        let holders = self.holders.iter().filter(|h| h.id.instance == *instance);
+        holders.map(|h| h.id.incarnation)
+    }
+
     /// Adds a holder with no part, unless the ledger has this holder already.
     pub fn join(&mut self, id: &HolderId, region: &RegionId) {
         if self.holder(id).is_some() {
--- a/src/limit/ledger_client.rs
+++ b/src/limit/ledger_client.rs
@@ -10,7 +10,7 @@
 //! then goes on with the part that it had, and writes that part again. Until all holders have had
 //! time for this, nobody claims what the copy has as free.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::amount::Part;
@@ -89,6 +89,8 @@
     /// Inherited part that this holder must not use until other instances have dropped the loans of
     /// the earlier incarnations.
     inherited_part: Part,
+    /// The incarnations whose parts this holder has proposed to inherit.
+    ended_incarnations: BTreeSet<u64>,
     /// The part that this holder had when the store came back from a copy, until the holder has
     /// written it again; includes the inherited part.
     entitled: Option<Part>,
@@ -108,6 +110,7 @@
             closing_since: BTreeMap::new(),
             inherits_earlier: false,
             inherited_part: Part::ZERO,
+            ended_incarnations: BTreeSet::new(),
             entitled: None,
         }
     }
@@ -131,6 +134,11 @@
         self.inherited_part = Part::ZERO;
     }
 
+    /// Returns the instance's earlier incarnations that the ledger had, whose processes have ended.
+    pub fn ended_incarnations(&self) -> Vec<u64> {
+        self.ended_incarnations.iter().copied().collect()
+    }
+
     /// Returns the identity of this holder.
     pub fn holder_id(&self) -> &HolderId {
         &self.holder_id
@@ -218,6 +226,8 @@
             ledger.begin_era(era);
         }
         if self.inherits_earlier && ledger.holder(&self.holder_id).is_none() {
+            self.ended_incarnations
+                .extend(ledger.incarnations(&self.holder_id.instance));
             let inherited_part = ledger.inherit(&self.holder_id, &self.region);
             if self.entitled.is_none() {
                 self.inherited_part = inherited_part;
--- a/src/limit/loan.rs
+++ b/src/limit/loan.rs
@@ -20,7 +20,7 @@
 /// Identifies a loan across all lenders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LoanId {
-    /// Incarnation of the borrower, chosen at random when the borrower starts.
+    /// Incarnation under which the borrower is in the ledger when it requests the loan.
     pub borrower: u64,
     /// Sequence number of the borrower's loan request.
     pub serial: u64,
--- a/src/limit/maintenance.rs
+++ b/src/limit/maintenance.rs
@@ -1,6 +1,6 @@
 //! Actor that maintains an instance's part in the ledger and its loans.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError, Weak};
 use std::time::Duration;
@@ -158,6 +158,7 @@
         {
             shares.ledger_client().unlock_inherited_part();
             apply_floor(&shares, unused_since);
+            tokio::spawn(announce_ended_borrower(Arc::clone(&shares)));
         }
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_LOAN_CHECK) {
@@ -168,6 +169,37 @@
     }
 }
 
+/// Returns the names of the other instances that are in the ledger.
+fn other_holders(shares: &Shares) -> BTreeSet<InstanceId> {
+    let mut holders = BTreeSet::new();
+    if let Some(ledger) = shares.ledger_client().ledger() {
+        for holder in ledger.holders() {
+            if holder.id.instance != shares.deps.id && !is_set_aside(&holder.id) {
+                holders.insert(holder.id.instance.clone());
+            }
+        }
+    }
+    holders
+}
+
+/// Notifies the other holders that what they lent to this instance's earlier incarnations is in
+/// use nowhere. A loan whose lender is not reached is deducted until its term ends.
+async fn announce_ended_borrower(shares: Arc<Shares>) {
+    let incarnations = shares.ledger_client().ended_incarnations();
+    let message = Message::EndedBorrower(shares.deps.id.clone(), incarnations);
+    let mut calls = Vec::new();
+    for holder in other_holders(&shares) {
+        if let Some(address) = shares.live_peer_address(&holder) {
+            calls.push(shares.call_peer(address, &message, PEER_CALL_TIMEOUT));
+        }
+    }
+    for answer in join_all(calls).await {
+        if let Err(e) = answer {
+            journal::line("ended_borrower_lost").text("error", &e.to_string());
+        }
+    }
+}
+
 enum SwapOutcome {
     Written,
     Conflict,
@@ -211,14 +243,7 @@
     /// part soon after a restart. Such a holder may still use what the earlier incarnations lent
     /// to it.
     async fn announce_ended(&mut self, shares: &Arc<Shares>) -> Option<Duration> {
-        let mut holders = Vec::new();
-        if let Some(ledger) = shares.ledger_client().ledger() {
-            for holder in ledger.holders() {
-                if holder.id.instance != shares.deps.id && !is_set_aside(&holder.id) {
-                    holders.push(holder.id.instance.clone());
-                }
-            }
-        }
+        let holders = other_holders(shares);
         let is_starting = shares.now() < STARTUP_TIME;
         let mut addresses = Vec::new();
         let mut has_dead_holder = false;
--- a/src/limit/message.rs
+++ b/src/limit/message.rs
@@ -27,9 +27,12 @@
     Return(Vec<(OrganisationId, Return)>),
     /// Requests a copy of the ledger.
     Copy,
-    /// Announces that the earlier incarnations of this instance have ended, and their loans with
+    /// Announces that the earlier incarnations of this instance have ended, and what they lent with
     /// them.
     Ended(InstanceId),
+    /// Announces that loans to these incarnations of an instance have ended; sent when all who may
+    /// use what the incarnations lent on have confirmed [`Message::Ended`].
+    EndedBorrower(InstanceId, Vec<u64>),
     /// Requests to charge a request of an instance that holds no part.
     Charge {
         /// The organisation to charge.
@@ -53,7 +56,7 @@
     Prolonged(Vec<(OrganisationId, LoanId)>),
     /// Acknowledges the message.
     Noted,
-    /// The loans of the ended incarnations have been dropped.
+    /// What the ended incarnations lent has been dropped.
     Ended {
         /// Whether the answering instance had borrowed from the ended incarnations.
         had_loans: bool,
@@ -75,6 +78,7 @@
     Ended(InstanceId),
     Charge(OrganisationId, u64, u64),
     Settle(Vec<(u64, u64)>),
+    EndedBorrower(InstanceId, Vec<u64>),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -170,6 +174,9 @@
             }
             Message::Copy => Self::Copy,
             Message::Ended(instance) => Self::Ended(instance.clone()),
+            Message::EndedBorrower(instance, incarnations) => {
+                Self::EndedBorrower(instance.clone(), incarnations.clone())
+            }
             Message::Charge {
                 organisation,
                 tokens,
@@ -201,6 +208,9 @@
             }
             WireMessage::Copy => Self::Copy,
             WireMessage::Ended(instance) => Self::Ended(instance),
+            WireMessage::EndedBorrower(instance, incarnations) => {
+                Self::EndedBorrower(instance, incarnations)
+            }
             WireMessage::Charge(organisation, tokens, time_left_us) => Self::Charge {
                 organisation,
                 tokens,
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -88,13 +88,11 @@
         instance: deps.id.clone(),
         incarnation: rand::random(),
     };
-    let borrower = holder_id.incarnation;
     let mut ledger_client = LedgerClient::of(holder_id, deps.region.clone());
     if mode.inherits {
         ledger_client = ledger_client.inheriting();
     }
     let shares = Arc::new(Shares {
-        borrower,
         ledger_client: Mutex::new(ledger_client),
         serial: AtomicU64::new(0),
         has_left: AtomicBool::new(false),
@@ -128,7 +126,6 @@
     pub(super) deps: LimiterDeps,
     pub(super) account_table: RwLock<AccountTable>,
     ledger_client: Mutex<LedgerClient>,
-    borrower: u64,
     serial: AtomicU64,
     /// Set when the instance leaves the ledger for good.
     pub(super) has_left: AtomicBool,
@@ -357,7 +354,7 @@
         peers: u64,
     ) -> Option<LoanRequest> {
         let id = LoanId {
-            borrower: self.borrower,
+            borrower: self.ledger_client().holder_id().incarnation,
             serial: self.serial.fetch_add(1, Ordering::Relaxed),
         };
         let now = self.now();
@@ -565,10 +562,18 @@
                 let now = self.0.now();
                 let mut had_loans = false;
                 for (_, shared_account) in self.0.all_accounts() {
-                    had_loans |= shared_account.lock().drop_loans_with(now, &instance);
+                    had_loans |= shared_account.lock().drop_loans_from(now, &instance);
                 }
                 Answer::Ended { had_loans }
             }
+            Message::EndedBorrower(instance, incarnations) => {
+                let now = self.0.now();
+                for (_, shared_account) in self.0.all_accounts() {
+                    let mut account = shared_account.lock();
+                    account.drop_loans_to(now, &instance, &incarnations);
+                }
+                Answer::Noted
+            }
             Message::Charge {
                 organisation,
                 tokens,
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -85,12 +85,80 @@
     vec(skew, INSTANCES)
 }
 
+const NO_SKEW: Skew = Skew {
+    offset: Duration::ZERO,
+    per_mille: 0,
+};
+
 fn no_skew() -> Vec<Skew> {
-    let skew = Skew {
-        offset: Duration::ZERO,
-        per_mille: 0,
-    };
-    vec![skew; INSTANCES]
+    vec![NO_SKEW; INSTANCES]
+}
+
+#[derive(Debug, Clone)]
+enum RestartStep {
+    Wait(u64),
+    Serve(usize, u64),
+    Borrow(usize, usize, u64),
+    Deliver(usize, bool),
+    /// Delivers the messages of this many calls in order.
+    DeliverFirst(usize),
+    DropMessage(usize),
+    ReturnLoans(usize),
+    Prolong(usize),
+    Restart(usize),
+    Announce(usize),
+}
+
+/// Few of many instances take part, so that they meet again.
+fn restart_step() -> impl Strategy<Value = RestartStep> {
+    let i = 0usize..3;
+    prop_oneof![
+        3 => (1u64..3_000).prop_map(RestartStep::Wait),
+        1 => (3_000u64..100_000).prop_map(RestartStep::Wait),
+        6 => (i.clone(), 1u64..3_001).prop_map(|(i, n)| RestartStep::Serve(i, n)),
+        6 => (i.clone(), i.clone(), 1u64..3_001)
+            .prop_map(|(i, j, n)| RestartStep::Borrow(i, j, n)),
+        6 => (0usize..12, prop::bool::weighted(0.2))
+            .prop_map(|(k, copy)| RestartStep::Deliver(k, copy)),
+        3 => (1usize..300).prop_map(RestartStep::DeliverFirst),
+        1 => (0usize..6).prop_map(RestartStep::DropMessage),
+        1 => i.clone().prop_map(RestartStep::ReturnLoans),
+        1 => i.clone().prop_map(RestartStep::Prolong),
+        1 => i.clone().prop_map(RestartStep::Restart),
+        3 => i.prop_map(RestartStep::Announce),
+    ]
+}
+
+fn apply_restart(fleet: &mut Fleet, step: RestartStep) {
+    match step {
+        RestartStep::Wait(ms) => fleet.wait(Duration::from_millis(ms)),
+        RestartStep::Serve(i, tokens) => {
+            if fleet.admit(i, tokens, Duration::from_secs(1)) {
+                fleet.serve(0, tokens, true);
+                fleet.settle(0);
+            }
+        }
+        RestartStep::Borrow(i, to, tokens) => fleet.borrow(i, to, tokens, Duration::from_secs(1)),
+        RestartStep::Deliver(k, keep_copy) => deliver_unless_to_a_borrower(fleet, k, keep_copy),
+        RestartStep::DeliverFirst(count) => {
+            for _ in 0..count {
+                deliver_unless_to_a_borrower(fleet, 0, false);
+            }
+        }
+        RestartStep::DropMessage(k) => fleet.drop_message(k),
+        RestartStep::ReturnLoans(i) => fleet.return_loans(i, None),
+        RestartStep::Prolong(i) => fleet.prolong(i),
+        RestartStep::Restart(i) => fleet.restart(i),
+        RestartStep::Announce(i) => fleet.announce_ended(i),
+    }
+}
+
+fn deliver_unless_to_a_borrower(fleet: &mut Fleet, k: usize, keep_copy: bool) {
+    if fleet.asks_a_borrower(k) {
+        fleet.drop_message(k);
+        return;
+    }
+    fleet.deliver(k, keep_copy);
 }
 
 proptest! {
@@ -112,6 +180,24 @@
         }
     }
 
+    /// Requests are served at once. No one lends what it has borrowed.
+    #[test]
+    fn restarted_instances_and_their_lenders_never_use_the_same_part(
+        instances in prop_oneof![4 => Just(3usize), 2 => Just(9), 1 => Just(100)],
+        steps in vec(restart_step(), 1..150),
+    ) {
+        let limit = RateLimit { rate: 1_000, burst: 3_000 };
+        let mut fleet = Fleet::new(limit, vec![NO_SKEW; instances]);
+        fleet.wait(Duration::from_secs(10));
+        for step in steps {
+            let step_text = format!("{step:?}");
+            apply_restart(&mut fleet, step);
+            if let Err(e) = fleet.check() {
+                return Err(TestCaseError::fail(format!("{e} after {step_text}")));
+            }
+        }
+    }
+
     #[test]
     fn within_the_rate_nobody_is_refused_while_peers_have_the_tokens(
         requests in vec((0..INSTANCES, 1u64..120, 1u64..1_500), 1..60),
@@ -406,17 +492,17 @@
 }
 
 #[test]
-fn drop_loans_with_reports_whether_anything_was_borrowed() {
+fn drop_loans_from_reports_whether_anything_was_borrowed() {
     let now = Duration::from_secs(100);
     let (mut lender, mut borrower, _) = loan_between_two_accounts(now);
-    assert!(!borrower.drop_loans_with(now, &"another".into()));
-    assert!(borrower.drop_loans_with(now, &"g".into()));
+    assert!(!borrower.drop_loans_from(now, &"another".into()));
+    assert!(borrower.drop_loans_from(now, &"g".into()));
     assert!(
-        !borrower.drop_loans_with(now, &"g".into()),
+        !borrower.drop_loans_from(now, &"g".into()),
         "dropped already"
     );
     assert!(
-        !lender.drop_loans_with(now, &"b".into()),
+        !lender.drop_loans_from(now, &"b".into()),
         "the lender borrowed nothing"
     );
 }
--- a/tests/limits/fleet.rs
+++ b/tests/limits/fleet.rs
@@ -1,6 +1,6 @@
 //! Model of a few accounts, a faulty network and the targets' count of tokens, in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use limpetstand::id::InstanceId;
@@ -25,6 +25,11 @@
     Prolong(LoanId, Duration, InstanceId),
     Prolonged(LoanId, Duration),
     Return(Return),
+    /// A run of an instance announces that the earlier ones have ended.
+    Ended(usize, u64),
+    /// Confirms `Ended` of an instance's run; names who confirms.
+    EndedConfirmed(u64, usize),
+    EndedBorrower(usize, Vec<u64>),
 }
 
 #[derive(Debug, Clone)]
@@ -47,6 +52,13 @@
     since: Duration,
 }
 
+/// A restarted instance that may not use its floor yet.
+#[derive(Debug, Clone, Default)]
+struct RestartedInstance {
+    ended_runs: Vec<u64>,
+    unconfirmed: BTreeSet<usize>,
+}
+
 /// Clock error of an instance: its offset, and by how many thousandths it runs fast.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Skew {
@@ -73,7 +85,10 @@
     crashed: Vec<CrashedInstance>,
     global_bucket: GlobalBucket,
     serial: u64,
-    incarnations: u64,
+    /// The run of each instance, and of all runs the last.
+    runs: Vec<u64>,
+    last_run: u64,
+    restarted: BTreeMap<usize, RestartedInstance>,
     prolong_requested_at: BTreeMap<LoanId, Duration>,
 }
 
@@ -94,6 +109,9 @@
             now,
             network: Vec::new(),
             floors: vec![floor; accounts.len()],
+            runs: (0..accounts.len() as u64).collect(),
+            last_run: accounts.len() as u64,
+            restarted: BTreeMap::new(),
             accounts,
             skews,
             held: Vec::new(),
@@ -103,7 +121,6 @@
                 updated_at: now,
             },
             serial: 0,
-            incarnations: 0,
             prolong_requested_at: BTreeMap::new(),
         }
     }
@@ -181,7 +198,7 @@
     pub(crate) fn borrow(&mut self, i: usize, to: usize, tokens: u64, time_left: Duration) {
         self.serial += 1;
         let id = LoanId {
-            borrower: (i as u64) + 100 * self.incarnations,
+            borrower: self.runs[i],
             serial: self.serial,
         };
         let local = self.local(i);
@@ -265,6 +282,14 @@
             Message::Return(returned) => {
                 self.accounts[i].accept_return(local, &returned);
             }
+            Message::Ended(ended, run) => {
+                self.accounts[i].drop_loans_from(local, &instance_id(ended));
+                self.send(ended, Message::EndedConfirmed(run, i));
+            }
+            Message::EndedConfirmed(run, by) => self.confirm_ended(i, run, by),
+            Message::EndedBorrower(borrower, runs) => {
+                self.accounts[i].drop_loans_to(local, &instance_id(borrower), &runs);
+            }
         }
     }
 
@@ -276,18 +301,75 @@
 
     /// Crashes an instance and replaces it by a new one without a floor.
     pub(crate) fn crash(&mut self, i: usize) {
-        self.held.retain(|h| h.instance != i);
-        self.incarnations += 1;
         let floor = std::mem::take(&mut self.floors[i]);
         self.crashed.push(CrashedInstance {
             floor,
             since: self.now,
         });
+        self.start_run(i);
+    }
+
+    fn start_run(&mut self, i: usize) {
+        self.held.retain(|h| h.instance != i);
+        self.last_run += 1;
+        self.runs[i] = self.last_run;
         let local = self.local(i);
         self.accounts[i] = Account::open(local, self.limit, Part::ZERO);
         self.network.retain(|p| p.to != i);
     }
 
+    /// Kills an instance and starts it again under its name. It keeps its floor, and uses it when
+    /// all others have confirmed that the earlier run has ended.
+    pub(crate) fn restart(&mut self, i: usize) {
+        let others = (0..self.accounts.len()).filter(|j| *j != i).collect();
+        let restarted = self.restarted.entry(i).or_default();
+        restarted.ended_runs.push(self.runs[i]);
+        restarted.unconfirmed = others;
+        self.start_run(i);
+    }
+
+    /// Announces to the others that the earlier runs of a restarted instance have ended.
+    pub(crate) fn announce_ended(&mut self, i: usize) {
+        if !self.restarted.contains_key(&i) {
+            return;
+        }
+        for j in 0..self.accounts.len() {
+            if j != i {
+                self.send(j, Message::Ended(i, self.runs[i]));
+            }
+        }
+    }
+
+    fn confirm_ended(&mut self, i: usize, run: u64, by: usize) {
+        let Some(restarted) = self.restarted.get_mut(&i) else {
+            return;
+        };
+        if run != self.runs[i] {
+            return;
+        }
+        restarted.unconfirmed.remove(&by);
+        if !restarted.unconfirmed.is_empty() {
+            return;
+        }
+        let ended_runs = std::mem::take(&mut restarted.ended_runs);
+        self.restarted.remove(&i);
+        let local = self.local(i);
+        self.accounts[i].raise_floor(local, self.floors[i]);
+        for j in 0..self.accounts.len() {
+            if j != i {
+                self.send(j, Message::EndedBorrower(i, ended_runs.clone()));
+            }
+        }
+    }
+
+    /// Returns whether the message is a loan request to an instance that lives on loans itself.
+    pub(crate) fn asks_a_borrower(&self, k: usize) -> bool {
+        self.network.get(k).is_some_and(|envelope| {
+            let lives_on_loans = !self.accounts[envelope.to].borrowed_part().is_zero();
+            matches!(envelope.message, Message::LoanRequest(_)) && lives_on_loans
+        })
+    }
+
     /// Assigns the floor of a crashed instance to `i` once all loans of the crashed one have ended.
     pub(crate) fn reassign_floor(&mut self, i: usize, reassign_delay: Duration) {
         let now = self.now;
--- a/tests/limits/live.rs
+++ b/tests/limits/live.rs
@@ -314,16 +314,24 @@
 
     /// Crashes an instance and removes it from the list.
     pub(crate) fn crash(&mut self, i: usize) {
-        let address = self.addresses.remove(i);
-        self.network
-            .handlers
-            .lock()
-            .expect(UNPOISONED)
-            .remove(&address);
-        self.limiters[i] = Arc::new(CrashedLimiter);
+        self.kill(i);
+        self.addresses.remove(i);
         self.publish_members();
     }
 
+    /// Kills an instance, which stays on the list.
+    pub(crate) fn kill(&mut self, i: usize) {
+        let mut handlers = self.network.handlers.lock().expect(UNPOISONED);
+        handlers.remove(&self.addresses[i]);
+        self.limiters[i] = Arc::new(CrashedLimiter);
+    }
+
+    /// Starts a killed instance again under its name.
+    pub(crate) fn restart(&mut self, i: usize) {
+        self.start_instance(self.addresses[i]);
+        self.limiters.swap_remove(i);
+    }
+
     /// Adds an instance to the first region.
     pub(crate) fn add_instance(&mut self, port: u16) {
         let address = SocketAddr::from(([127, 0, 0, 1], port + 1));
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -194,6 +194,34 @@
     assert!(fleet.request(1, "bakeries", BURST * 8 / 10).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_restarted_instance_and_its_lender_do_not_use_the_same_part() {
+    let mut fleet = LimiterFleet::start("inherited-shares", 1, 3);
+    fleet.set_organisation("bakeries", RATE, BURST);
+    sleep(Duration::from_secs(20)).await;
+    load(&fleet, &[0], 50, 100, 10).await;
+    fleet.kill(1);
+    fleet.kill(2);
+    sleep(Duration::from_millis(500)).await;
+    // The instance that is not back makes the other one announce its restart again and again.
+    fleet.restart(1);
+    for at in [&[1][..], &[0], &[1], &[0, 1]] {
+        let start = Instant::now();
+        let (admitted, _) = load(&fleet, at, 50, 100, 8).await;
+        let ratio = overspend_ratio(admitted * 100, start.elapsed().as_secs_f64());
+        assert!(ratio <= 1.0, "overspent at {at:?}: {ratio}");
+    }
+    fleet.restart(2);
+    sleep(Duration::from_secs(10)).await;
+    let start = Instant::now();
+    let (admitted, _) = load(&fleet, &[0, 1, 2], 50, 100, 20).await;
+    let ratio = overspend_ratio(admitted * 100, start.elapsed().as_secs_f64());
+    assert!(
+        ratio > 0.85 && ratio <= 1.0,
+        "{ratio} of the rate was served"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crashed_instance_is_replaced_by_a_new_one() {
     let mut fleet = start_fleet("shares").await;
