--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -180,7 +180,8 @@
         }
     }
 
-    /// Requests are served at once. No one lends what it has borrowed.
+    /// Requests are served at once, and no one lends what it has borrowed, as a borrower drops the
+    /// loans of an ended run also if it has lent them on or holds tokens on them.
     #[test]
     fn restarted_instances_and_their_lenders_never_use_the_same_part(
         instances in prop_oneof![4 => Just(3usize), 2 => Just(9), 1 => Just(100)],
