Ask a restarted instance again that is known from the list only

Cause: an instance that is known from the list and not yet from heartbeats has incarnation 0 (`member::table`), and so has each later process of it until it is heard of. Once such a process had said that it leaves, it was remembered as (name, 0) without an end: a later process under that name was left out until the first heartbeat or gossip about it, or until another instance that left was recorded after the name had gone from the fleet. Where news between regions comes late or not at all, that has no bound in time. An incarnation above 0 was not left out wrongly, as a restart raises it.

Now a process of incarnation 0 that leaves is remembered for 3 s, as one at whose address nothing listens: it costs a sender a round trip each 3 s of its grace. What is remembered is decided by `PeerMemory`, which `relay_to_region` and the test both use.

Evidence, with the earlier memory (trial on this code):

a_restarted_instance_that_is_known_from_the_list_only_gets_requests_again assertion `left == right` failed: 9 instances left: 0 right: 3

Now all of the region are asked again at 9, 62 and 300 instances, and none twice at once. How often a sender relays to an instance that it knows from the list only was not measured.

--- a/src/gateway/cross_region.rs
+++ b/src/gateway/cross_region.rs
@@ -9,11 +9,12 @@
 use super::pool;
 use super::region::RegionStats;
 use super::relay::{WireHead, WireJob, WireOutcome, headers_from_wire, status_from_wire};
-use super::relay_tries::{NotTaken, PeerFilter, RelayTries};
+use super::relay_tries::{NotTaken, PeerFilter, PeerMemory, RelayTries};
 use super::source::Source;
 use super::{Gateway, lock};
 use crate::id::RegionId;
 use crate::journal;
+use crate::member::{Fleet, Member};
 use crate::peer::{PeerError, decode, encode};
 use crate::refusal::{Code, Refusal};
 
@@ -65,14 +66,13 @@
                         .value("nothing_listens", why.nothing_listens())
                         .text("error", &why.to_string());
                     job.sent = false;
-                    if why.nothing_listens() {
-                        let now = self.clock.now();
-                        self.reach()
-                            .record_instance_ended(now, &peer.id, peer.incarnation);
-                        tries.record(NotTaken::Ended);
+                    let why = if why.nothing_listens() {
+                        NotTaken::Ended
                     } else {
-                        tries.record(NotTaken::NotReached);
-                    }
+                        NotTaken::NotReached
+                    };
+                    self.remember_peer(&fleet, peer, why);
+                    tries.record(why);
                     continue;
                 }
                 Err(e) => {
@@ -99,7 +99,7 @@
             };
             self.record_remote_wait(region, &job.service, head.wait_ms);
             if head.is_leaving() {
-                lock(&self.leaving_instances).record(&fleet, &peer.id, peer.incarnation);
+                self.remember_peer(&fleet, peer, NotTaken::Leaving);
                 if head.is_not_sent(job.attempts) {
                     journal::line("instance_leaving")
                         .text("request", &job.id)
@@ -109,8 +109,7 @@
                     continue;
                 }
             } else if head.cut_off {
-                self.reach()
-                    .record_instance_cut_off(self.clock.now(), &peer.id);
+                self.remember_peer(&fleet, peer, NotTaken::CutOff);
                 if head.is_not_sent(job.attempts) {
                     journal::line("instance_cut_off")
                         .text("request", &job.id)
@@ -166,6 +165,17 @@
         })
     }
 
+    /// Remembers for other requests why an instance did not take one.
+    fn remember_peer(&self, fleet: &Fleet, peer: &Member, why: NotTaken) {
+        let mut memory = PeerMemory {
+            now: self.clock.now(),
+            fleet,
+            reach: &mut self.reach(),
+            leaving: &mut lock(&self.leaving_instances),
+        };
+        memory.record(peer, why);
+    }
+
     /// Creates the failure of a relayed request that returned no answer.
     fn relay_failure(&self, job: &Job, region: &RegionId, refusal: Refusal) -> Failure {
         let refusal = if job.may_have_run {
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -14,8 +14,8 @@
 /// How long an instance that has said that it is cut off gets no requests.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 
-/// How long a process at whose address nothing listened gets no requests. A link that refuses
-/// connections may heal, so the process is not left out for good.
+/// How long a process that has ended, or seems to have, gets no requests. A link that refuses
+/// connections may heal, and a later process may look the same, so it is not left out for good.
 const ENDED_TIME: Duration = Duration::from_secs(3);
 
 /// What is known of this instance's links to targets.
@@ -86,7 +86,8 @@
         until.is_some_and(|until| *until > now)
     }
 
-    /// Records that nothing listens at the address of another instance.
+    /// Records that this process of another instance has ended or is about to: nothing listens at its
+    /// address, or it has said that it leaves.
     pub fn record_instance_ended(&mut self, now: Duration, id: &InstanceId, incarnation: u64) {
         self.ended_instances.retain(|_, ended| ended.until > now);
         let until = now + ENDED_TIME;
@@ -94,7 +95,7 @@
             .insert(id.clone(), EndedProcess { incarnation, until });
     }
 
-    /// Tells whether nothing listened lately at the address of this process of another instance.
+    /// Tells whether this process of another instance has lately been recorded as ended.
     pub fn has_ended(&self, now: Duration, id: &InstanceId, incarnation: u64) -> bool {
         let ended = self.ended_instances.get(id);
         ended.is_some_and(|e| e.incarnation == incarnation && e.until > now)
--- a/src/gateway/relay_tries.rs
+++ b/src/gateway/relay_tries.rs
@@ -21,6 +21,9 @@
 /// to no further one. Each costs a round trip, and the region may be lost as a whole.
 const MAX_ENDED_INSTANCES: usize = 16;
 
+/// The incarnation of an instance that is known from the list only.
+const UNHEARD_INCARNATION: u64 = 0;
+
 /// Why an instance did not take a relayed request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotTaken {
@@ -60,6 +63,36 @@
     }
 }
 
+/// What an instance remembers of others that did not take a relayed request.
+#[derive(Debug)]
+pub struct PeerMemory<'a> {
+    /// The time of the instance's clock.
+    pub now: Duration,
+    /// All known instances.
+    pub fleet: &'a Fleet,
+    /// The instances that are left out for a while.
+    pub reach: &'a mut Reach,
+    /// The instances that have said that they leave.
+    pub leaving: &'a mut LeavingInstances,
+}
+
+impl PeerMemory<'_> {
+    /// Records why an instance did not take a request.
+    pub fn record(&mut self, member: &Member, why: NotTaken) {
+        let (id, incarnation) = (&member.id, member.incarnation);
+        match why {
+            NotTaken::NotReached => {}
+            NotTaken::CutOff => self.reach.record_instance_cut_off(self.now, id),
+            // A later process of the instance looks the same until it is heard of.
+            NotTaken::Leaving if incarnation == UNHEARD_INCARNATION => {
+                self.reach.record_instance_ended(self.now, id, incarnation);
+            }
+            NotTaken::Leaving => self.leaving.record(self.fleet, id, incarnation),
+            NotTaken::Ended => self.reach.record_instance_ended(self.now, id, incarnation),
+        }
+    }
+}
+
 /// The instances of one region to which a request may still be relayed, and how many did not take it.
 #[derive(Debug, Clone)]
 pub struct RelayTries<'a> {
--- a/tests/relay_tries.rs
+++ b/tests/relay_tries.rs
@@ -5,9 +5,10 @@
 
 use limpetstand::departure::{Departure, LeavingInstances};
 use limpetstand::gateway::reach::Reach;
-use limpetstand::gateway::relay_tries::{NotTaken, PeerFilter, RelayTries};
+use limpetstand::gateway::relay_tries::{NotTaken, PeerFilter, PeerMemory, RelayTries};
 use limpetstand::id::{InstanceId, RegionId};
 use limpetstand::member::{Fleet, Health, Member};
+use limpetstand::platform::{ListedInstance, Listing, ServiceState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -54,6 +55,7 @@
     fleet: Fleet,
     reach: Reach,
     leaving: LeavingInstances,
+    now: Duration,
     rng: SmallRng,
 }
 
@@ -66,6 +68,7 @@
             fleet: fleet(instances / REGIONS),
             reach: Reach::default(),
             leaving: LeavingInstances::default(),
+            now: ms(0),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -74,7 +77,7 @@
     fn choose(&mut self, tries: &mut RelayTries<'_>) -> Option<usize> {
         let filter = PeerFilter {
             own: &self.id,
-            now: ms(0),
+            now: self.now,
             reach: &self.reach,
             leaving: &self.leaving,
         };
@@ -82,11 +85,15 @@
         self.fleet.members.iter().position(|m| m.id == chosen.id)
     }
 
-    /// Learns that an instance leaves.
-    fn record_leaving(&mut self, n: usize) {
-        let member = &self.fleet.members[n];
-        self.leaving
-            .record(&self.fleet, &member.id, member.incarnation);
+    /// Learns why an instance did not take a request.
+    fn record(&mut self, n: usize, why: NotTaken) {
+        let mut memory = PeerMemory {
+            now: self.now,
+            fleet: &self.fleet,
+            reach: &mut self.reach,
+            leaving: &mut self.leaving,
+        };
+        memory.record(&self.fleet.members[n], why);
     }
 }
 
@@ -148,9 +155,8 @@
     sender.fleet.members[0].region = "south".into();
     sender.fleet.members[1].health = Health::Suspect;
     sender.id = sender.fleet.members[2].id.clone();
-    let cut_off = sender.fleet.members[3].id.clone();
-    sender.reach.record_instance_cut_off(ms(0), &cut_off);
-    sender.record_leaving(4);
+    sender.record(3, NotTaken::CutOff);
+    sender.record(4, NotTaken::Leaving);
     let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
     let mut tries = RelayTries::new(&fleet, &region);
     let mut chosen: Vec<usize> = std::iter::from_fn(|| sender.choose(&mut tries)).collect();
@@ -187,7 +193,7 @@
             if n >= begun {
                 break;
             }
-            sender.record_leaving(n);
+            sender.record(n, NotTaken::Leaving);
             tries.record(NotTaken::Leaving);
         }
         needed.most = needed.most.max(count);
@@ -233,10 +239,7 @@
             if n >= ended {
                 break;
             }
-            let member = &fleet.members[n];
-            sender
-                .reach
-                .record_instance_ended(ms(0), &member.id, member.incarnation);
+            sender.record(n, NotTaken::Ended);
             tries.record(NotTaken::Ended);
         }
         needed.most = needed.most.max(count);
@@ -283,7 +286,7 @@
                 waiting = Vec::new();
                 for (n, mut tries) in refused {
                     known.insert(n);
-                    sender.record_leaving(n);
+                    sender.record(n, NotTaken::Leaving);
                     tries.record(NotTaken::Leaving);
                     waiting.push(tries);
                 }
@@ -306,7 +309,7 @@
             tried.insert(n);
             tries.record(NotTaken::Leaving);
             if n != stays {
-                sender.record_leaving(n);
+                sender.record(n, NotTaken::Leaving);
             }
         }
         assert_eq!(tried.len(), fleet.members.len(), "{instances}");
@@ -314,3 +317,36 @@
         assert_eq!(sender.choose(&mut next), Some(stays), "{instances}");
     }
 }
+
+#[test]
+fn a_restarted_instance_that_is_known_from_the_list_only_gets_requests_again() {
+    for instances in [9, 62, 300] {
+        let mut sender = Sender::new(instances, 0);
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let listed = |id: &InstanceId| ListedInstance {
+            id: id.clone(),
+            front: address,
+            peer: address,
+            region: "north".into(),
+            data_centre: "north-a".into(),
+            state: ServiceState::Live,
+        };
+        let ids: Vec<InstanceId> = sender.fleet.members.iter().map(|m| m.id.clone()).collect();
+        sender.fleet = Fleet::from(Listing {
+            instances: ids.iter().map(listed).collect(),
+            targets: Vec::new(),
+        });
+        let (fleet, region) = (sender.fleet.clone(), sender.region.clone());
+        // All have said that they leave, and each restarts.
+        for n in 0..ids.len() {
+            sender.record(n, NotTaken::Leaving);
+        }
+        let mut tries = RelayTries::new(&fleet, &region);
+        assert_eq!(sender.choose(&mut tries), None, "none is asked twice");
+        // The grace that the site gives a stopping process.
+        sender.now = ms(8_000);
+        let mut tries = RelayTries::new(&fleet, &region);
+        let asked = std::iter::from_fn(|| sender.choose(&mut tries)).count();
+        assert_eq!(asked, ids.len(), "{instances} instances");
+    }
+}
