--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`brittle`], [`relay_tries`], [`attempt_timeout`]) use neither
+//! [`tolerance`], [`urgency`], [`brittle`], [`give_up`], [`relay_tries`], [`attempt_timeout`]) use neither
 //! sockets nor a clock.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -29,6 +29,7 @@
 mod directory;
 pub mod ejection;
 mod follow;
+pub mod give_up;
 pub mod instances;
 mod job;
 mod late;
@@ -81,6 +82,7 @@
 use self::crashes::ProbedProcesses;
 use self::dialect::{Dialect, PromptPart};
 use self::ejection::OwnEjections;
+use self::give_up::unless_given_up;
 use self::job::{Failure, Job};
 use self::load_shedding::TypicalPrefill;
 use self::origin_news::OriginRecords;
@@ -256,11 +258,10 @@
             return (head, None);
         }
         let service = job.service.clone();
-        let outcome = tokio::select! {
-            // An answer that is ready is delivered.
-            biased;
-            outcome = self.0.run_local(&mut job) => outcome,
-            () = self.0.gives_up() => {
+        let answered = unless_given_up(self.0.run_local(&mut job), self.0.gives_up()).await;
+        let outcome = match answered {
+            Some(outcome) => outcome,
+            None => {
                 let failure = job.given_up();
                 journal::line("given_up")
                     .text("request", &job.id)
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -17,6 +17,7 @@
 use super::answer_body::{BodyError, body_frames};
 use super::attempts::{STARTUP_WAIT, strip_hop_by_hop_headers};
 use super::dialect::RequestHead;
+use super::give_up::unless_given_up;
 use super::job::{Failure, Job, LEAVING_RETRY_AFTER, Reply, suspects};
 use super::listen::Handler;
 use super::load_shedding;
@@ -103,10 +104,10 @@
         let began = Instant::now();
         let (parts, body) = req.into_parts();
         let head = self.0.dialect.read_request(&parts.headers);
-        let prepared = tokio::select! {
-            biased;
-            prepared = self.prepare(parts, body, &head, began) => prepared,
-            () = self.0.gives_up() => {
+        let preparing = self.prepare(parts, body, &head, began);
+        let prepared = match unless_given_up(preparing, self.0.gives_up()).await {
+            Some(prepared) => prepared,
+            None => {
                 given_up_line(&head, Ran::No);
                 Err(self.refuse(&head, &leaving_refusal(), None, None))
             }
@@ -120,10 +121,10 @@
             Err(response) => return response,
         };
         let deadline = job.deadline;
-        let outcome = tokio::select! {
-            biased;
-            outcome = timeout_at(deadline, self.0.dispatch(&mut job)) => outcome,
-            () = self.0.gives_up() => {
+        let dispatched = timeout_at(deadline, self.0.dispatch(&mut job));
+        let outcome = match unless_given_up(dispatched, self.0.gives_up()).await {
+            Some(outcome) => outcome,
+            None => {
                 let failure = job.given_up();
                 given_up_line(&head, failure.refusal.ran()).ms("time_left_ms", job.time_left());
                 Ok(Err(failure))
