Do not settle a restarted holder's charges with ids of its earlier run

Callers of an organisation together got up to twice what rate and burst allow: after a holder of limits had restarted, settlements of charges that its earlier run had made gave back tokens that requests of the new run still held.

Cause: the ids of delegated charges counted from 0 in each process, and a settlement names the holder's address and the id only. So a request that had been charged before the restart and ended after it settled whatever charge had its number by then.

Now the ids of a run begin at random, so a settlement of another run finds nothing; the charge it meant is gone with its run, and counts as used there. No message changes.

--- a/src/limit/delegate.rs
+++ b/src/limit/delegate.rs
@@ -52,10 +52,10 @@
 pub(super) type Settlement = (u64, u64);
 
 /// Delegated charges of other instances at this one, and of this instance at others.
-#[derive(Default)]
 pub(super) struct Delegation {
     held: Mutex<HashMap<u64, HeldForPeer>>,
-    last_id: AtomicU64,
+    /// Begins at random, since charges of an earlier run of this instance may still be settled.
+    next_id: AtomicU64,
     settlements: Mutex<HashMap<SocketAddr, Vec<Settlement>>>,
     settled: Arc<Notify>,
     avoided_until: Mutex<HashMap<InstanceId, Duration>>,
@@ -71,9 +71,19 @@
 }
 
 impl Delegation {
+    pub(super) fn new() -> Self {
+        Self {
+            held: Mutex::default(),
+            next_id: AtomicU64::new(rand::random()),
+            settlements: Mutex::default(),
+            settled: Arc::default(),
+            avoided_until: Mutex::default(),
+        }
+    }
+
     /// Keeps the hold of another instance's request; returns its id.
     pub(super) fn keep(&self, now: Duration, hold: Hold, time_left: Duration) -> u64 {
-        let id = self.last_id.fetch_add(1, Ordering::Relaxed);
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let held = HeldForPeer {
             hold,
             expires_at: now + time_left + HOLD_GRACE,
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -97,7 +97,7 @@
         serial: AtomicU64::new(0),
         has_left: AtomicBool::new(false),
         account_table: RwLock::default(),
-        delegation: Delegation::default(),
+        delegation: Delegation::new(),
         is_holder: AtomicBool::new(!mode.few_holders),
         mode,
         deps,
--- a/tests/loans.rs
+++ b/tests/loans.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use limpetstand::limit::Hold;
 use limpetstand::refusal::{Code, Ran};
 use live::LimiterFleet;
 use tokio::time::{Instant, sleep};
@@ -222,6 +223,49 @@
     );
 }
 
+/// Holds tokens at an instance until it has refused some requests in a row.
+async fn hold_all(fleet: &LimiterFleet, at: usize) -> Vec<Hold> {
+    let mut holds = Vec::new();
+    let mut refused = 0;
+    while refused < 3 {
+        let time_left = Duration::from_secs(60);
+        let limiter = &fleet.limiters[at];
+        match limiter.admit(&"bakeries".into(), 100, time_left).await {
+            Ok(hold) => holds.push(hold),
+            Err(_) => {
+                refused += 1;
+                sleep(Duration::from_secs(1)).await;
+            }
+        }
+    }
+    holds
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_holder_does_not_take_settlements_of_its_earlier_run() {
+    const INSTANCES: usize = 5;
+    for asker in 0..INSTANCES {
+        let mut fleet = LimiterFleet::start("few-holders", 1, 5);
+        fleet.set_organisation("bakeries", RATE, BURST);
+        sleep(Duration::from_secs(20)).await;
+        let earlier = hold_all(&fleet, asker).await;
+        for i in (0..INSTANCES).filter(|i| *i != asker) {
+            fleet.kill(i);
+            fleet.restart(i);
+        }
+        sleep(Duration::from_secs(20)).await;
+        let other = (asker + 1) % INSTANCES;
+        let mut running = hold_all(&fleet, other).await;
+        for hold in earlier {
+            hold.settle(0);
+        }
+        sleep(Duration::from_secs(1)).await;
+        running.extend(hold_all(&fleet, other).await);
+        let held = running.len() as u64 * 100;
+        assert!(held > 0 && held <= BURST, "asker {asker}: {held} are held");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crashed_instance_is_replaced_by_a_new_one() {
     let mut fleet = start_fleet("shares").await;
