--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -23,6 +23,13 @@
 const OVERSHOOT: f64 = 0.1;
 const SLACK: f64 = 110_000.0;
 
+/// What the tenant usually sends, as a part of its limit: the site's limits are 1.8 times the usual.
+const USUAL: f64 = 1.0 / 1.8;
+
+/// A hot tenant sends this many times its usual, for this long; the site's figures.
+const HOT_X: f64 = 6.0;
+const HOT_S: f64 = 11.0;
+
 /// How long the machines are down.
 const DOWN_MS: u64 = 300;
 
@@ -76,10 +83,11 @@
     }
     sleep_ms(8_000);
     let sent = Arc::new(Mutex::new(Vec::new()));
-    // The tenant sends several times what its limit allows, as in a `hot_tenant`.
-    let per_s = 4.0 * RATE as f64 / TOKENS as f64 / machines.len() as f64;
-    record.say("the tenant sends four times its limit");
     let fronts: Vec<_> = machines.iter().map(|m| m.front).collect();
+    let usual_per_s = USUAL * RATE as f64 / TOKENS as f64 / fronts.len() as f64;
+    let hot_from = record.now_ms() as f64 / 1000.0;
+    record.say("the tenant sends six times its usual for eleven seconds");
+    let per_s = move |t: f64| usual_per_s * if t < hot_from + HOT_S { HOT_X } else { 1.0 };
     let loads: Vec<_> =
         fronts.iter().map(|front| Load::start(&record, *front, per_s, request, &sent)).collect();
     sleep_ms(3_000);
