--- a/review/tools-2/standin.rs
+++ b/review/tools-2/standin.rs
@@ -38,12 +38,27 @@
     std::env::var("TROUBLE").as_deref() != Ok("0")
 }
 
-/// Ends the case: it could not run.
+/// The processes that have been started and not waited for.
+static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+/// Ends the case, and the processes that it has started: it could not run.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for pid in STARTED.lock().unwrap().iter() {
+        // SAFETY: nobody has waited for the process, so the id is its own.
+        unsafe { kill(*pid, 9) };
+    }
     std::process::exit(2);
 }
 
+/// Ends a process and waits for it.
+fn end(mut child: Child) {
+    let pid = child.id() as i32;
+    STARTED.lock().unwrap().retain(|started| *started != pid);
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 // ---------------------------------------------------------------------------------------------
 // The record.
 
@@ -1085,6 +1100,7 @@
             .spawn();
         let child = child.unwrap_or_else(|e| cannot_run(&e.to_string()));
         self.record.say(format!("{} started, process {}", self.name, child.id()));
+        STARTED.lock().unwrap().push(child.id() as i32);
         self.child = Some(child);
     }
 
@@ -1096,9 +1112,8 @@
     }
 
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.child.take() {
+            end(child);
             self.record.say(format!("{} killed", self.name));
         }
     }
@@ -1132,10 +1147,9 @@
 
 impl Drop for Machine {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        if let Some(child) = self.child.take() {
             signal(&child, SIGCONT);
-            let _ = child.kill();
-            let _ = child.wait();
+            end(child);
         }
     }
 }
