Divide the tolerance by the ledger and mark its use there

Each process counted what it took of the tolerance itself, so its next process took all of its part again within the same window: 114 requests of 1,000 tokens were charged to the tolerance before the kill and 114 after it, 136 are tolerated. Each also divided by the number of instances that it saw.

The tolerance is now the limiter's. It is divided by the parts of the ledger, which never add up to more than the whole, as a bucket for each organisation. The ledger marks a part before its tolerance is used and until a window after the last use. A process that inherits an unmarked part starts with full buckets, all others with empty ones, so any number of starts gives no more than one process.

After a start the tolerance was used because shares came 1.07 s to 1.72 s late. An instance whose earlier process held a part takes it over at once, repeats the announcement of its restart sooner, and requests of the first 0.7 s wait for it.

The test of an organisation without a share asks for a refusal at once, as no tolerance is used without a part.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! of the service and the headers; see [`dialect`]. The modules that make decisions ([`routes`],
 //! [`registry`], [`mirror`], [`restored`], [`listeners`], [`pool`], [`withdrawal`],
 //! [`withdrawal_news`], [`stream_origin`], [`reach`], [`ejection`], [`region`], [`warmup`],
-//! [`tolerance`], [`urgency`], [`brittle`], [`give_up`], [`relay_tries`], [`attempt_timeout`]) use neither
+//! [`urgency`], [`brittle`], [`give_up`], [`relay_tries`], [`attempt_timeout`]) use neither
 //! sockets nor a clock.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -66,7 +66,6 @@
 mod target_query;
 mod target_stream;
 pub mod target_tries;
-pub mod tolerance;
 mod upstream;
 pub mod urgency;
 pub mod warmth;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -447,18 +447,9 @@
         };
         let time_left = deadline.saturating_duration_since(Instant::now());
         let time_left = time_left.min(MAX_CHARGE_TIME_LEFT);
-        let reloadable_settings = self.0.reloadable_settings();
-        self.0
-            .quota
-            .charge(
-                organisation,
-                policy,
-                policy.cost(head.usage),
-                time_left,
-                &reloadable_settings.tolerance,
-                self.0.fleet_size(),
-            )
-            .await
+        let cost = policy.cost(head.usage);
+        let quota = &self.0.quota;
+        quota.charge(organisation, policy, cost, time_left).await
     }
 
     fn refuse(
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,17 +1,12 @@
-//! Charges organisations for requests: first against their share of the rate, then against the
-//! tolerance.
+//! Charges organisations for requests.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
 
-use super::lock;
 use super::platform_view::PlatformView;
 use super::routes::{OrganisationPolicy, RouteTable};
-use super::tolerance::{Tolerance, ToleranceUse};
-use crate::clock::Clock;
 use crate::config::{Document, Organisation, Revision, Snapshot};
 use crate::id::OrganisationId;
 use crate::limit::{Hold, Limiter};
@@ -28,7 +23,7 @@
     /// The request was charged against the instance's share of the rate, or a loan from another
     /// instance.
     Share(Hold),
-    /// The request was charged against the instance's part of the tolerance.
+    /// The request was charged against the tolerance, beyond the rate and burst.
     Tolerated,
 }
 
@@ -62,23 +57,12 @@
 pub struct Quota {
     limiter: Arc<dyn Limiter>,
     snapshot: watch::Receiver<Arc<Snapshot>>,
-    clock: Clock,
-    tolerance_use: Mutex<HashMap<OrganisationId, ToleranceUse>>,
 }
 
 impl Quota {
     /// Creates a quota that charges against the shares of `limiter`, which follows `snapshot`.
-    pub fn new(
-        limiter: Arc<dyn Limiter>,
-        snapshot: watch::Receiver<Arc<Snapshot>>,
-        clock: Clock,
-    ) -> Self {
-        Self {
-            limiter,
-            snapshot,
-            clock,
-            tolerance_use: Mutex::default(),
-        }
+    pub fn new(limiter: Arc<dyn Limiter>, snapshot: watch::Receiver<Arc<Snapshot>>) -> Self {
+        Self { limiter, snapshot }
     }
 
     /// Charges a request to the request's organisation.
@@ -92,31 +76,22 @@
         policy: &OrganisationPolicy,
         units: u64,
         time_left: Duration,
-        tolerance: &Tolerance,
-        instances: usize,
     ) -> Result<Charge, Refusal> {
         if policy.rate == 0 {
             return Ok(Charge::Free);
         }
-        let refusal = if self.is_known(organisation) {
-            match self.limiter.admit(organisation, units, time_left).await {
-                Ok(hold) => return Ok(Charge::Share(hold)),
-                Err(refusal) => refusal,
-            }
-        } else {
-            Refusal::not_run(
+        if !self.is_known(organisation) {
+            let refusal = Refusal::not_run(
                 Code::RateExceeded,
                 "this instance has no share of the organisation's rate yet",
-            )
-            .retry_after(SHARE_SETUP_TIME)
-        };
-        let mut tolerance_use = lock(&self.tolerance_use);
-        let tolerance_use = tolerance_use.entry(organisation.clone()).or_default();
-        let limit = (policy.rate, policy.burst);
-        if tolerance_use.take(self.clock.now(), units, limit, tolerance, instances) {
+            );
+            return Err(refusal.retry_after(SHARE_SETUP_TIME));
+        }
+        let hold = self.limiter.admit(organisation, units, time_left).await?;
+        if hold.is_tolerated() {
             return Ok(Charge::Tolerated);
         }
-        Err(refusal)
+        Ok(Charge::Share(hold))
     }
 
     /// Tells whether the limiter's configuration already has an organisation of the route table.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -156,6 +156,15 @@
         .start();
     follower.start(membership.fleet(), Arc::clone(&services.peers));
     let snapshot = follow_organisations(view.clone());
+    let (reloadable_settings_tx, reloadable_settings) =
+        watch::channel(ReloadableSettings::from(settings));
+    if let Some(path) = path {
+        tokio::spawn(watch_settings(path, reloadable_settings_tx));
+    }
+    let tolerance = {
+        let reloadable_settings = reloadable_settings.clone();
+        move || reloadable_settings.borrow().tolerance
+    };
     let limits = limit::start(
         &services.settings.policy.limit,
         limit::LimiterDeps {
@@ -166,6 +175,7 @@
             fleet: membership.fleet(),
             peers: Arc::clone(&services.peers),
             store: Arc::clone(&services.store),
+            tolerance: Arc::new(tolerance),
         },
     )
     .map_err(|e| KernelError::UnknownPlugin {
@@ -173,11 +183,6 @@
         key: "limit",
         message: e.to_string(),
     })?;
-    let (reloadable_settings_tx, reloadable_settings) =
-        watch::channel(ReloadableSettings::from(settings));
-    if let Some(path) = path {
-        tokio::spawn(watch_settings(path, reloadable_settings_tx));
-    }
     let mut regions: Vec<_> = settings.data_centres.values().cloned().collect();
     regions.sort();
     regions.dedup();
@@ -206,7 +211,7 @@
         prefill,
         peers: Arc::clone(&services.peers),
         upstream: TargetConnections::new(services.settings.instance.source),
-        quota: Quota::new(Arc::clone(&limits.limiter), snapshot, services.clock),
+        quota: Quota::new(Arc::clone(&limits.limiter), snapshot),
         pool: std::sync::Mutex::new(Pool::new(prefill)),
         retries: std::sync::Mutex::default(),
         region_figures: std::sync::Mutex::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,8 +7,8 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 
-use super::tolerance::Tolerance;
 use crate::id::RegionId;
+use crate::limit::tolerance::Tolerance;
 use crate::retry_budget::RetryBound;
 
 /// The section `[gateway]`.
--- a/src/kernel/parts.rs
+++ b/src/kernel/parts.rs
@@ -12,7 +12,7 @@
 use crate::config::distribution::{self, ConfigDistribution};
 use crate::departure::Departure;
 use crate::entries;
-use crate::limit;
+use crate::limit::{self, tolerance::Tolerance};
 use crate::member::{self, Health, Member, Membership};
 use crate::place;
 use crate::place::engine::HttpEngineClient;
@@ -125,6 +125,7 @@
         fleet: membership.fleet(),
         peers: Arc::clone(&services.peers),
         store: Arc::clone(&services.store),
+        tolerance: Arc::new(|| Tolerance::NONE),
     };
     limit::start(&services.settings.policy.limit, deps).map_err(|e| KernelError::UnknownPlugin {
         section: "policy",
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -23,6 +23,7 @@
 pub mod message;
 mod shared_account;
 mod shares;
+pub mod tolerance;
 
 use std::fmt;
 use std::sync::Arc;
@@ -31,6 +32,7 @@
 use async_trait::async_trait;
 use tokio::sync::watch;
 
+use self::tolerance::Tolerance;
 use crate::clock::Clock;
 use crate::config::Snapshot;
 use crate::id::{InstanceId, OrganisationId, RegionId};
@@ -55,6 +57,7 @@
     pub tokens: u64,
     remaining: u64,
     settler: Option<Arc<dyn Settle>>,
+    is_tolerated: bool,
 }
 
 impl Hold {
@@ -65,9 +68,26 @@
             tokens,
             remaining: tokens,
             settler: Some(settler),
+            is_tolerated: false,
         }
     }
 
+    /// Creates a hold of tokens beyond the organisation's rate and burst, which are not released.
+    pub fn tolerated(organisation: OrganisationId, tokens: u64) -> Self {
+        Self {
+            organisation,
+            tokens,
+            remaining: tokens,
+            settler: None,
+            is_tolerated: true,
+        }
+    }
+
+    /// Returns whether the tokens lie beyond the organisation's rate and burst.
+    pub fn is_tolerated(&self) -> bool {
+        self.is_tolerated
+    }
+
     /// Reports that a target has served `tokens` more tokens of the request.
     ///
     /// Reports during a streamed answer free the burst earlier for other requests.
@@ -155,6 +175,8 @@
     pub peers: Arc<dyn Peers>,
     /// The platform's store.
     pub store: Arc<dyn Store>,
+    /// Returns what organisations may use beyond their limits.
+    pub tolerance: Arc<dyn Fn() -> Tolerance + Send + Sync>,
 }
 
 /// A running limiter.
--- a/src/limit/delegate.rs
+++ b/src/limit/delegate.rs
@@ -17,7 +17,7 @@
 use super::baseline::rate_exceeded;
 use super::holders;
 use super::message::{Answer, Message};
-use super::shares::{Shares, SharesLimiter};
+use super::shares::{PART_WAIT, Shares, SharesLimiter};
 use super::{Hold, Settle};
 use crate::id::{InstanceId, OrganisationId};
 use crate::journal;
@@ -158,7 +158,10 @@
     let last = candidates.len().saturating_sub(1);
     for (n, (id, address)) in candidates.into_iter().enumerate() {
         if id == shares.deps.id {
-            return limiter.admit_here(organisation, tokens, time_left).await;
+            let wait = PART_WAIT.min(time_left);
+            return limiter
+                .admit_here(organisation, tokens, time_left, wait)
+                .await;
         }
         let mut until = deadline;
         if n < last {
@@ -176,7 +179,9 @@
                 return Ok(Hold::new(organisation.clone(), tokens, Arc::new(settle)));
             }
             Ok(Ok(Answer::Refused(refusal))) => {
-                return Err(holders::refusal_for_caller(refusal));
+                let refusal = holders::refusal_for_caller(refusal);
+                let hold = limiter.admit_beyond_share(organisation, tokens, time_left);
+                return hold.await.ok_or(refusal);
             }
             outcome => {
                 let why = match outcome {
@@ -194,7 +199,9 @@
             }
         }
     }
-    Err(rate_exceeded(Some(NO_HOLDER_RETRY_AFTER)))
+    let hold = limiter.admit_beyond_share(organisation, tokens, time_left);
+    hold.await
+        .ok_or_else(|| rate_exceeded(Some(NO_HOLDER_RETRY_AFTER)))
 }
 
 /// Returns the holders of this region to ask, in order.
--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -41,6 +41,8 @@
     /// The store's era in which the holder last wrote its own part; `None` if the holder does not
     /// say.
     pub confirmed_in: Option<u64>,
+    /// Whether the tolerance of the part may have been used recently.
+    pub tolerance_marked: bool,
 }
 
 /// The division of all rates and bursts among holders; the sum of the parts never exceeds the
@@ -113,6 +115,25 @@
         }
     }
 
+    /// Marks that the tolerance of a holder's part may have been used recently, or unmarks it.
+    pub fn mark_tolerance(&mut self, id: &HolderId, marked: bool) {
+        if let Some(holder) = self.active_mut(id) {
+            holder.tolerance_marked = marked;
+        }
+    }
+
+    /// Returns whether any incarnation of an instance holds a part.
+    pub fn holds_part(&self, instance: &InstanceId) -> bool {
+        let mut holders = self.holders.iter();
+        holders.any(|h| h.id.instance == *instance && !h.part.is_zero())
+    }
+
+    /// Returns whether the part of any incarnation of an instance is marked.
+    pub fn is_tolerance_marked(&self, instance: &InstanceId) -> bool {
+        let mut holders = self.holders.iter();
+        holders.any(|h| h.id.instance == *instance && h.tolerance_marked)
+    }
+
     /// Sets the part of a holder to what the holder was assigned before the store came back from a
     /// copy, as far as the parts set aside allow. What the copy assigns beyond that is set aside,
     /// since the store had assigned it to others.
@@ -151,6 +172,7 @@
             part,
             closing: true,
             confirmed_in: None,
+            tolerance_marked: false,
         });
     }
 
@@ -209,6 +231,7 @@
             part: Part::ZERO,
             closing: false,
             confirmed_in: None,
+            tolerance_marked: false,
         });
     }
 
@@ -331,6 +354,8 @@
     closing: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     confirmed_in: Option<u64>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    tolerance_marked: bool,
 }
 
 impl From<&Ledger> for WireLedger {
@@ -344,6 +369,7 @@
                 part: holder.part,
                 closing: holder.closing,
                 confirmed_in: holder.confirmed_in,
+                tolerance_marked: holder.tolerance_marked,
             });
         }
         Self {
@@ -381,6 +407,7 @@
                 part: holder.part,
                 closing: holder.closing,
                 confirmed_in: holder.confirmed_in,
+                tolerance_marked: holder.tolerance_marked,
             });
         }
         if sum > Part::WHOLE {
--- a/src/limit/ledger_client.rs
+++ b/src/limit/ledger_client.rs
@@ -43,6 +43,7 @@
 struct PendingSwap {
     expect: Precondition,
     part: Part,
+    tolerance_marked: bool,
 }
 
 /// A compare-and-swap to be sent to the store.
@@ -71,6 +72,11 @@
     pub may_create: bool,
     /// The store's latest era.
     pub era: u64,
+    /// Whether this instance wants to use the tolerance.
+    pub wants_tolerance: bool,
+    /// How long a part is marked after its tolerance may have been used last; `None` if there is no
+    /// tolerance.
+    pub mark_time: Option<Duration>,
 }
 
 /// One holder's view of the ledger and its swaps in flight.
@@ -94,6 +100,10 @@
     /// The part that this holder had when the store came back from a copy, until the holder has
     /// written it again; includes the inherited part.
     entitled: Option<Part>,
+    /// When this holder gained a marked part last.
+    gained_at: Option<Duration>,
+    /// The inherited part whose tolerance has not been used recently.
+    unused_part: Part,
 }
 
 impl LedgerClient {
@@ -112,6 +122,8 @@
             inherited_part: Part::ZERO,
             ended_incarnations: BTreeSet::new(),
             entitled: None,
+            gained_at: None,
+            unused_part: Part::ZERO,
         }
     }
 
@@ -158,6 +170,33 @@
             .fold(known, |floor, p| floor.min(p.part))
     }
 
+    /// Returns the part that the ledger assigns to this instance alone. Unlike the floor, it includes
+    /// an inherited part of which other instances may still use loans.
+    pub fn assigned_part(&self) -> Part {
+        let known = self.entitled.unwrap_or_else(|| self.recorded_part());
+        self.floor().saturating_add(self.inherited_part).min(known)
+    }
+
+    /// Returns whether this instance may use the tolerance of its part: the ledger marks the part,
+    /// and no proposal unmarks it.
+    pub fn may_use_tolerance(&self) -> bool {
+        self.is_tolerance_marked() && self.pending.iter().all(|p| p.tolerance_marked)
+    }
+
+    fn is_tolerance_marked(&self) -> bool {
+        let holder = self.ledger().and_then(|l| l.holder(&self.holder_id));
+        holder.is_some_and(|h| h.tolerance_marked)
+    }
+
+    /// Returns, once the ledger has it, the inherited part whose tolerance has not been used
+    /// recently; then none.
+    pub fn take_unused_part(&mut self) -> Part {
+        if self.recorded_part().is_zero() {
+            return Part::ZERO;
+        }
+        std::mem::take(&mut self.unused_part).min(self.recorded_part())
+    }
+
     fn recorded_part(&self) -> Part {
         self.ledger()
             .map_or(Part::ZERO, |l| l.part(&self.holder_id))
@@ -192,7 +231,11 @@
         } else if ledger.has_confirmed(&self.holder_id, revision.era) {
             self.entitled = None;
         }
+        let part_before = self.recorded_part();
         self.known = Some(KnownLedger { revision, ledger });
+        if self.recorded_part() > part_before && self.is_tolerance_marked() {
+            self.gained_at = Some(now);
+        }
         self.track_closing(now);
         self.advance_incarnation_if_closed();
     }
@@ -228,9 +271,15 @@
         if self.inherits_earlier && ledger.holder(&self.holder_id).is_none() {
             self.ended_incarnations
                 .extend(ledger.incarnations(&self.holder_id.instance));
+            let is_marked = ledger.is_tolerance_marked(&self.holder_id.instance);
             let inherited_part = ledger.inherit(&self.holder_id, &self.region);
             if self.entitled.is_none() {
                 self.inherited_part = inherited_part;
+                self.unused_part = if is_marked {
+                    Part::ZERO
+                } else {
+                    inherited_part
+                };
             }
         }
         self.track_absent(now, &ledger, inputs);
@@ -238,6 +287,7 @@
         ledger.join(&self.holder_id, &self.region);
         self.confirm(&mut ledger, era);
         self.rebalance(&mut ledger, inputs);
+        self.mark_tolerance(now, &mut ledger, inputs);
         if ledger == old && !self.missing_from_store {
             return None;
         }
@@ -286,14 +336,30 @@
         ledger.confirm(&self.holder_id, era);
     }
 
+    /// Marks this holder's part if this instance wants to use the tolerance, or if an instance that
+    /// had the part may have used it recently.
+    fn mark_tolerance(&self, now: Duration, ledger: &mut Ledger, inputs: &ProposalInputs) {
+        let Some(mark_time) = inputs.mark_time else {
+            ledger.mark_tolerance(&self.holder_id, false);
+            return;
+        };
+        let unmarked = self.recorded_part().max(self.unused_part);
+        let is_gained = ledger.part(&self.holder_id) > unmarked;
+        let was_gained = self.gained_at.is_some_and(|at| now < at + mark_time);
+        let marked = inputs.wants_tolerance || is_gained || was_gained;
+        ledger.mark_tolerance(&self.holder_id, marked);
+    }
+
     fn proposal(&mut self, expect: Precondition, ledger: Ledger) -> Proposal {
         let floor = ledger
             .part(&self.holder_id)
             .saturating_sub(self.inherited_part)
             .min(self.floor());
+        let holder = ledger.holder(&self.holder_id);
         self.pending.push(PendingSwap {
             expect,
             part: floor,
+            tolerance_marked: holder.is_some_and(|h| h.tolerance_marked),
         });
         Proposal {
             expect,
@@ -418,6 +484,9 @@
         let moved = surplus.min(shortfall);
         ledger.give_up(&self.holder_id, moved);
         ledger.claim(&smallest_active, moved);
+        if inputs.mark_time.is_some() {
+            ledger.mark_tolerance(&smallest_active, true);
+        }
     }
 }
 
--- a/src/limit/maintenance.rs
+++ b/src/limit/maintenance.rs
@@ -8,7 +8,8 @@
 use futures_util::future::join_all;
 use kameo::prelude::{Actor, ActorRef, Context, Message as ActorMessage};
 use metrics::{counter, gauge};
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use super::amount::Part;
 use super::ledger::{LEDGER_KEY, Ledger, is_set_aside};
@@ -24,6 +25,9 @@
 /// Mean interval between two ticks of the actor.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Mean interval between two ticks while the instance starts and does not use its part yet.
+const STARTUP_TICK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Number of ticks of the actor between two checks for loans to return or to prolong.
 const TICKS_PER_LOAN_CHECK: u64 = 4;
 
@@ -34,6 +38,9 @@
 /// ledger is pending.
 const LEDGER_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after a failed write of the mark in which requests do not wait for the mark.
+const MARK_RETRY_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Maximum delay of the read after the store has begun a new era, so that holders do not all read
 /// and write at once.
 const ERA_READ_DELAY: Duration = Duration::from_secs(1);
@@ -65,17 +72,19 @@
         inherited_unused_since: Duration::ZERO,
         listed: 0,
         listed_since: Duration::ZERO,
+        inherits_part: None,
     });
-    tokio::spawn(tick(maintenance));
+    tokio::spawn(tick(maintenance, Arc::clone(&shares.mark_wanted)));
 }
 
-async fn tick(maintenance: ActorRef<Maintenance>) {
+async fn tick(maintenance: ActorRef<Maintenance>, mark_wanted: Arc<Notify>) {
     loop {
-        if !matches!(maintenance.ask(Tick).await, Ok(true)) {
+        let Ok(Some(interval)) = maintenance.ask(Tick).await else {
             return;
-        }
+        };
         let jitter = rand::random_range(0.75..1.25);
-        sleep(TICK_INTERVAL.mul_f64(jitter)).await;
+        // Requests that wait for the mark do not wait for the next tick.
+        let _ = timeout(interval.mul_f64(jitter), mark_wanted.notified()).await;
     }
 }
 
@@ -121,23 +130,36 @@
     /// Number of listed instances, and since when it has not changed.
     listed: usize,
     listed_since: Duration,
+    /// Whether the ledger had a part of this instance's earlier process; `None` before the first
+    /// read.
+    inherits_part: Option<bool>,
 }
 
 impl ActorMessage<Tick> for Maintenance {
-    type Reply = bool;
+    type Reply = Option<Duration>;
 
-    /// Returns whether the actor is still needed.
-    async fn handle(&mut self, _: Tick, _: &mut Context<Self, bool>) -> bool {
-        let Some(shares) = self.shares.upgrade() else {
-            return false;
-        };
+    /// Returns the time until the next tick, or `None` if the actor is no longer needed.
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let shares = self.shares.upgrade()?;
         if shares.has_left.load(Ordering::Relaxed) {
-            return false;
+            return None;
         }
+        self.maintain(&shares).await;
+        let is_starting = shares.now() < STARTUP_TIME && shares.ledger_client().floor().is_zero();
+        Some(if is_starting {
+            STARTUP_TICK_INTERVAL
+        } else {
+            TICK_INTERVAL
+        })
+    }
+}
+
+impl Maintenance {
+    async fn maintain(&mut self, shares: &Arc<Shares>) {
         shares.sync_limits();
         shares.delegation.expire(shares.now());
-        if shares.mode.few_holders && !self.holds_part(&shares).await {
-            return true;
+        if shares.mode.few_holders && !self.holds_part(shares).await {
+            return;
         }
         let era = shares.deps.store.era();
         if era != std::mem::replace(&mut self.era, era) {
@@ -145,7 +167,7 @@
             self.next_read = self.next_read.min(shares.now() + delay);
         }
         if shares.now() >= self.next_read {
-            let is_settled = self.sync_ledger(&shares).await;
+            let is_settled = self.sync_ledger(shares).await;
             let interval = if is_settled {
                 LEDGER_READ_INTERVAL
             } else {
@@ -153,19 +175,21 @@
             };
             self.next_read = shares.now() + interval.mul_f64(rand::random_range(0.5..1.0));
         }
+        if shares.tolerance_use().lacks_mark() {
+            self.mark_tolerance(shares).await;
+        }
         if shares.ledger_client().has_inherited_part()
-            && let Some(unused_since) = self.announce_ended(&shares).await
+            && let Some(unused_since) = self.announce_ended(shares).await
         {
             shares.ledger_client().unlock_inherited_part();
-            apply_floor(&shares, unused_since);
-            tokio::spawn(announce_ended_borrower(Arc::clone(&shares)));
+            apply_floor(shares, unused_since);
+            tokio::spawn(announce_ended_borrower(Arc::clone(shares)));
         }
         self.ticks += 1;
         if self.ticks.is_multiple_of(TICKS_PER_LOAN_CHECK) {
-            maintain_loans(&shares).await;
-            record_metrics(&shares);
+            maintain_loans(shares).await;
+            record_metrics(shares);
         }
-        true
     }
 }
 
@@ -211,7 +235,8 @@
     /// its part in the ledger.
     ///
     /// An instance that has just started waits until the list of instances is complete, so that a
-    /// start of the whole fleet does not make each instance a holder for a moment.
+    /// start of the whole fleet does not make each instance a holder for a moment. It need not wait
+    /// if the ledger has a part of its earlier process.
     async fn holds_part(&mut self, shares: &Arc<Shares>) -> bool {
         let listed = shares.deps.fleet.borrow().members.len();
         if listed != std::mem::replace(&mut self.listed, listed) {
@@ -222,7 +247,9 @@
         if is_holder == was_holder {
             return is_holder;
         }
-        if shares.now() < self.listed_since + LIST_SETTLE_TIME {
+        let is_settled = shares.now() >= self.listed_since + LIST_SETTLE_TIME;
+        let may_change = is_settled || (is_holder && self.inherits_part(shares).await);
+        if !may_change {
             return was_holder;
         }
         shares.is_holder.store(is_holder, Ordering::Relaxed);
@@ -233,6 +260,23 @@
         is_holder
     }
 
+    /// Returns whether the ledger has a part of this instance's earlier process.
+    async fn inherits_part(&mut self, shares: &Arc<Shares>) -> bool {
+        if let Some(inherits_part) = self.inherits_part {
+            return inherits_part;
+        }
+        counter!("limpetstand_limit_store_calls_total", "call" => "read").increment(1);
+        let Ok(found) = shares.deps.store.get(LEDGER_KEY).await else {
+            return false;
+        };
+        apply_read(shares, found.as_ref());
+        let client = shares.ledger_client();
+        let ledger = client.ledger();
+        let inherits_part = ledger.is_some_and(|l| l.holds_part(&shares.deps.id));
+        self.inherits_part = Some(inherits_part);
+        inherits_part
+    }
+
     /// Notifies the other holders that this instance's earlier incarnations have ended.
     ///
     /// Returns the time since which no instance has used the part of the earlier incarnations, or
@@ -285,6 +329,22 @@
             Err(_) => return shares.ledger_client().ledger().is_some(),
         }
         let may_create = self.fetch_copies(shares).await;
+        self.write_changes(shares, may_create).await
+    }
+
+    /// Writes that requests may use the tolerance of this instance's part.
+    async fn mark_tolerance(&mut self, shares: &Arc<Shares>) {
+        self.write_changes(shares, false).await;
+        shares.apply_tolerance();
+        if shares.tolerance_use().lacks_mark() {
+            let until = shares.now() + MARK_RETRY_INTERVAL;
+            shares.tolerance_use().record_mark_failure(until);
+        }
+    }
+
+    /// Writes the changes that are due to the ledger as it was read last; returns whether the ledger
+    /// is known and no change is pending.
+    async fn write_changes(&self, shares: &Arc<Shares>, may_create: bool) -> bool {
         for _ in 0..MAX_SWAP_ATTEMPTS {
             if shares.has_left.load(Ordering::Relaxed) {
                 return true;
@@ -354,16 +414,19 @@
     let floor = shares.ledger_client().floor();
     shares.revoke_floor(floor);
     shares.raise_floor(floor, unused_since);
+    shares.apply_tolerance();
 }
 
 /// Lowers the floors to the proposal's floor, sends the proposal to the store and applies the
 /// outcome.
 async fn swap(shares: &Shares, proposal: Proposal) -> SwapOutcome {
+    shares.apply_tolerance();
     let value = proposal.ledger.to_bytes();
     let value = match value {
         Ok(value) if shares.lower_floor(proposal.floor) => value,
         _ => {
             shares.ledger_client().withdraw();
+            shares.apply_tolerance();
             return SwapOutcome::Unknown;
         }
     };
@@ -401,12 +464,15 @@
     } else {
         listed.len()
     };
+    let tolerance = (shares.deps.tolerance)();
     ProposalInputs {
         listed,
         holders,
         required_floor: shares.required_floor(),
         may_create,
         era: shares.deps.store.era(),
+        wants_tolerance: shares.tolerance_use().wants_mark(shares.now(), &tolerance),
+        mark_time: (!tolerance.is_none()).then(|| tolerance.mark_time()),
     }
 }
 
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use metrics::counter;
 use rand::seq::SliceRandom;
-use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::account::{Account, ChargeError, RateLimit};
 use super::amount::{Amount, Part};
@@ -27,6 +27,7 @@
 use super::maintenance;
 use super::message::{Answer, KIND, Message};
 use super::shared_account::{PeerGroup, SharedAccount};
+use super::tolerance::{Taken, ToleranceUse};
 use super::{Hold, Limiter, LimiterDeps, LimiterPlugin, Settle, Started};
 use crate::id::{InstanceId, OrganisationId, RegionId};
 use crate::member::Health;
@@ -40,6 +41,19 @@
 /// itself may give up earlier.
 const LOAN_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after the process start in which requests that lack tokens wait for this instance's part.
+/// A restarted instance reads its part from the ledger within a few hundred milliseconds, and
+/// callers give up after a second.
+pub(super) const PART_WAIT: Duration = Duration::from_millis(700);
+
+/// Longest time that a request of another instance waits for this instance's part; less than the
+/// time after which the other instance asks the next holder.
+const PEER_PART_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest time that a request waits for the mark of the tolerance; covers two writes of the ledger
+/// from another region.
+const MARK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Peer groups that a request asks for loans, in order. Other regions are asked twice, as each peer
 /// lends only a fraction of the lacking tokens.
 const BORROW_ROUNDS: [PeerGroup; 3] = [
@@ -98,6 +112,9 @@
         has_left: AtomicBool::new(false),
         account_table: RwLock::default(),
         delegation: Delegation::new(),
+        tolerance_use: Mutex::default(),
+        part_changed: Notify::new(),
+        mark_wanted: Arc::default(),
         is_holder: AtomicBool::new(!mode.few_holders),
         mode,
         deps,
@@ -133,6 +150,11 @@
     /// Whether this instance holds parts.
     pub(super) is_holder: AtomicBool,
     pub(super) delegation: Delegation,
+    tolerance_use: Mutex<ToleranceUse>,
+    /// Notified when the part that this instance may use changes, or the mark of its tolerance.
+    part_changed: Notify,
+    /// Notified when requests need the mark.
+    pub(super) mark_wanted: Arc<Notify>,
 }
 
 impl Shares {
@@ -176,6 +198,50 @@
         Some(RateLimit { rate, burst })
     }
 
+    /// Applies what the ledger says of this instance's part of the tolerance.
+    pub(super) fn apply_tolerance(&self) {
+        let now = self.now();
+        self.tolerance_use().follow(now, &mut self.ledger_client());
+        self.part_changed.notify_waiters();
+    }
+
+    /// Locks the use of the tolerance; the guard must not be held across an `await`.
+    pub(super) fn tolerance_use(&self) -> MutexGuard<'_, ToleranceUse> {
+        self.tolerance_use
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the tokens of a request out of this instance's part of the tolerance.
+    fn take_tolerance(&self, organisation: &OrganisationId, tokens: u64) -> Taken {
+        let tolerance = (self.deps.tolerance)();
+        let Some(limit) = self
+            .rate_limit(organisation)
+            .filter(|_| !tolerance.is_none())
+        else {
+            return Taken::Insufficient;
+        };
+        let mut tolerance_use = self.tolerance_use();
+        let taken = tolerance_use.take(self.now(), organisation, tokens, limit, &tolerance);
+        if taken == Taken::NeedsMark {
+            self.mark_wanted.notify_one();
+        }
+        taken
+    }
+
+    /// Creates the hold of a request that has been charged to its account.
+    fn hold(self: &Arc<Self>, charge: &Charge<'_>) -> Hold {
+        let settler = Arc::clone(self) as _;
+        Hold::new(charge.organisation.clone(), charge.tokens, settler)
+    }
+
+    /// Returns whether this instance has just started and does not know its part yet.
+    fn expects_part(&self) -> bool {
+        self.now() < PART_WAIT
+            && self.ledger_client().assigned_part().is_zero()
+            && (!self.mode.few_holders || self.holder_ids().contains(&self.deps.id))
+    }
+
     /// Sends a message to another instance and returns the answer.
     pub(super) async fn call_peer(
         &self,
@@ -477,14 +543,15 @@
         if self.0.mode.few_holders {
             let (_, burst) = rate_and_burst(&self.0.deps, organisation)?;
             if tokens > burst {
-                return Err(count_refusal(
-                    organisation,
-                    larger_than_burst(tokens, burst),
-                ));
+                let tolerated = self.admit_beyond_share(organisation, tokens, time_left);
+                return tolerated
+                    .await
+                    .ok_or_else(|| count_refusal(organisation, larger_than_burst(tokens, burst)));
             }
             return delegate::admit(self, organisation, tokens, time_left).await;
         }
-        self.admit_here(organisation, tokens, time_left).await
+        let wait = PART_WAIT.min(time_left);
+        self.admit_here(organisation, tokens, time_left, wait).await
     }
 
     async fn leave(&self) {
@@ -493,12 +560,71 @@
 }
 
 impl SharesLimiter {
-    /// Charges a request to this instance's account.
+    /// Charges a request to this instance's part of the tolerance. The request waits until the
+    /// ledger marks the part, and just after the process start until the part is known, at most
+    /// for `wait`.
+    pub(super) async fn admit_beyond_share(
+        &self,
+        organisation: &OrganisationId,
+        tokens: u64,
+        wait: Duration,
+    ) -> Option<Hold> {
+        let shares = &self.0;
+        let until = Instant::now() + wait.min(MARK_TIMEOUT);
+        loop {
+            let part_changed = shares.part_changed.notified();
+            match shares.take_tolerance(organisation, tokens) {
+                Taken::Yes => return Some(Hold::tolerated(organisation.clone(), tokens)),
+                Taken::Insufficient if !shares.expects_part() => return None,
+                Taken::Insufficient | Taken::NeedsMark => {}
+            }
+            timeout_at(until, part_changed).await.ok()?;
+        }
+    }
+
+    /// Charges a request that arrives just after the process start, when the account is empty, to
+    /// what the account gains within `wait`.
+    async fn admit_while_starting(
+        &self,
+        shared_account: &SharedAccount,
+        charge: &Charge<'_>,
+        wait: Duration,
+    ) -> Option<Hold> {
+        let shares = &self.0;
+        let until = Instant::now() + wait.min(PART_WAIT.saturating_sub(shares.now()));
+        loop {
+            let part_changed = shares.part_changed.notified();
+            let charge = Charge {
+                refilled_at_arrival: shared_account.lock().total_refilled(shares.now()),
+                ..*charge
+            };
+            if shares.charge(shared_account, &charge).is_ok() {
+                return Some(shares.hold(&charge));
+            }
+            if Instant::now() >= until {
+                return None;
+            }
+            let refill = shared_account
+                .lock()
+                .refill_time(shares.now(), charge.tokens);
+            match refill.map(|time| Instant::now() + time) {
+                Some(refilled) if refilled < until => sleep_until(refilled).await,
+                _ if shares.ledger_client().floor().is_zero() => {
+                    timeout_at(until, part_changed).await.ok()?;
+                }
+                _ => return None,
+            }
+        }
+    }
+
+    /// Charges a request to this instance's account, or else to its part of the tolerance. While the
+    /// process starts, the request waits at most for `wait` for either.
     pub(super) async fn admit_here(
         &self,
         organisation: &OrganisationId,
         tokens: u64,
         time_left: Duration,
+        wait: Duration,
     ) -> Result<Hold, Refusal> {
         let shares = &self.0;
         let (rate, burst) = rate_and_burst(&shares.deps, organisation)?;
@@ -514,11 +640,10 @@
             time_left,
             refilled_at_arrival,
         };
-        let new_hold = || Hold::new(organisation.clone(), tokens, Arc::clone(shares) as _);
         match shares.charge(&shared_account, &charge) {
             Ok(()) => {
                 shares.borrow_ahead(&shared_account, &charge);
-                return Ok(new_hold());
+                return Ok(shares.hold(&charge));
             }
             Err(ChargeError::LargerThanBurst) => {
                 return Err(count_refusal(
@@ -528,9 +653,17 @@
             }
             Err(ChargeError::Insufficient) => {}
         }
-        let wait = BORROW_TIMEOUT.min(time_left);
-        if timeout(wait, shares.borrow(&shared_account, &charge)).await == Ok(true) {
-            return Ok(new_hold());
+        let borrowed = shares.borrow(&shared_account, &charge);
+        if timeout(BORROW_TIMEOUT.min(time_left), borrowed).await == Ok(true) {
+            return Ok(shares.hold(&charge));
+        }
+        let admitted = self.admit_beyond_share(organisation, tokens, wait);
+        if let Some(hold) = admitted.await {
+            return Ok(hold);
+        }
+        let admitted = self.admit_while_starting(&shared_account, &charge, wait);
+        if let Some(hold) = admitted.await {
+            return Ok(hold);
         }
         let wait = shares.retry_after(&shared_account, &charge);
         Err(count_refusal(organisation, rate_exceeded(wait)))
@@ -604,7 +737,9 @@
         time_left: Duration,
     ) -> Answer {
         let limiter = SharesLimiter(Arc::clone(&self.0));
-        match limiter.admit_here(organisation, tokens, time_left).await {
+        let wait = PEER_PART_WAIT.min(time_left);
+        let admitted = limiter.admit_here(organisation, tokens, time_left, wait);
+        match admitted.await {
             Ok(hold) => Answer::Charged(self.0.delegation.keep(self.0.now(), hold, time_left)),
             Err(refusal) => Answer::Refused(refusal),
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use limpetstand::clock::Clock;
 use limpetstand::config::Snapshot;
 use limpetstand::gateway::dialect::{DirectoryQuery, PromptPart, TargetEntry};
 use limpetstand::gateway::platform_view::PlatformView;
 use limpetstand::gateway::pool::{Demand, Pool, Prefill, TargetQuery};
-use limpetstand::gateway::quota::{Charge, Quota};
+use limpetstand::gateway::quota::Quota;
 use limpetstand::gateway::region::{self, RegionStats};
 use limpetstand::gateway::registry::{ENTRY_RECOVERY_TIME, KnownTarget, TargetRegistry};
 use limpetstand::gateway::routes::{
@@ -18,7 +17,6 @@
 };
 use limpetstand::gateway::settings::GatewaySettings;
 use limpetstand::gateway::target_limits::LimitedTargets;
-use limpetstand::gateway::tolerance::{Tolerance, ToleranceUse};
 use limpetstand::gateway::warmup::{self, RecentSends};
 use limpetstand::gateway::{
     attempt_timeout, combined_priority, directory_entries, directory_ttl, load_shedding,
@@ -220,39 +218,6 @@
         // At least half of the rate is used.
         prop_assert!(bound < 1.0 || sum * 2 > bound as usize);
     }
-
-    /// The units that all instances together tolerate stay within the tolerance in any window.
-    #[test]
-    fn tolerance_of_all_instances_is_bounded(
-        takes in proptest::collection::vec((0..9_usize, 0..20_000_u64, 1..20_000_u64), 0..200),
-    ) {
-        let tolerance = Tolerance { overshoot: 0.1, slack: 110_000.0, window: SECOND * 8 };
-        let terms = (30_000, 30_000);
-        let mut spent = vec![ToleranceUse::default(); 9];
-        let mut sorted = takes;
-        sorted.sort_by_key(|(_, at, _)| *at);
-        let mut given: Vec<(u64, u64)> = Vec::new();
-        for (i, at, units) in sorted {
-            if spent[i].take(ms(at), units, terms, &tolerance, 9) {
-                given.push((at, units));
-            }
-        }
-        for (from, _) in &given {
-            let window = given.iter().filter(|(at, _)| (*from..from + 8_000).contains(at));
-            let sum: u64 = window.map(|(_, units)| units).sum();
-            prop_assert!(sum as f64 <= 0.1 * 9.0 * 30_000.0 + 110_000.0);
-        }
-    }
-}
-
-#[test]
-fn without_a_tolerance_nothing_is_tolerated() {
-    let none = Tolerance {
-        overshoot: 0.0,
-        slack: 0.0,
-        window: SECOND,
-    };
-    assert!(!ToleranceUse::default().take(SECOND, 1, (1_000, 1_000), &none, 1));
 }
 
 #[test]
@@ -280,7 +245,7 @@
 #[tokio::test]
 async fn an_organisation_whose_share_is_not_set_up_yet_is_not_told_that_its_key_is_bad() {
     let (_tx, snapshot) = watch::channel(Arc::new(Snapshot::default()));
-    let quota = Quota::new(Arc::new(NoShare), snapshot, Clock::start());
+    let quota = Quota::new(Arc::new(NoShare), snapshot);
     let policy = OrganisationPolicy {
         priority: None,
         rate: 1_000,
@@ -288,16 +253,9 @@
         unit: Unit::Tokens { default_cost: 1 },
         home_regions: Vec::new(),
     };
-    let tolerance = Tolerance {
-        overshoot: 0.0,
-        slack: 100.0,
-        window: SECOND,
-    };
     let organisation = "o1".into();
-    let charge = quota.charge(&organisation, &policy, 50, SECOND, &tolerance, 1);
-    assert!(matches!(charge.await, Ok(Charge::Tolerated)));
-    let charge = quota.charge(&organisation, &policy, 50, SECOND, &tolerance, 1);
-    let refusal = charge.await.expect_err("the tolerance is spent");
+    let charge = quota.charge(&organisation, &policy, 50, SECOND);
+    let refusal = charge.await.expect_err("there is no share yet");
     assert_eq!(refusal.code(), Code::RateExceeded);
     assert!(refusal.retry_after_ms().is_some());
 }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -1,8 +1,10 @@
-//! Tests that the floors in use never add up to more than the whole.
+//! Tests that the floors in use never add up to more than the whole, and the uses of the tolerance to
+//! no more than the fleet may use in a window.
 
 use std::time::Duration;
 
 use limpetstand::id::{InstanceId, RegionId};
+use limpetstand::limit::account::RateLimit;
 use limpetstand::limit::amount::Part;
 use limpetstand::limit::ledger::{HolderId, Ledger, LedgerError};
 use limpetstand::limit::ledger_client::{
@@ -10,12 +12,21 @@
     ProposalInputs,
 };
 use limpetstand::limit::loan::MAX_TERM;
+use limpetstand::limit::tolerance::{Taken, Tolerance, ToleranceUse};
 use limpetstand::store::{Precondition, StoreRevision};
 use proptest::collection::vec;
 use proptest::prelude::*;
 
 const INSTANCES: usize = 4;
 
+/// An organisation's limit, and a tolerance of 10,000 tokens in addition.
+const LIMIT: RateLimit = RateLimit { rate: 1, burst: 1 };
+const TOLERANCE: Tolerance = Tolerance {
+    overshoot: 0.0,
+    slack: 10_000.0,
+    window: Duration::from_secs(60),
+};
+
 /// How a compare-and-swap is delivered.
 #[derive(Debug, Clone, Copy)]
 enum Delivery {
@@ -36,6 +47,8 @@
     Leave(usize),
     /// The other instances have dropped the loans of an instance's ended incarnations.
     Unlock(usize),
+    /// An instance uses what it may of the tolerance.
+    Use(usize),
     /// A copy is made of the store.
     Copy,
     /// The store comes back from the copy.
@@ -76,9 +89,22 @@
     ]
 }
 
+fn step_with_uses() -> impl Strategy<Value = Step> {
+    let i = 0..INSTANCES;
+    prop_oneof![
+        8 => step_with_copies(),
+        4 => (1u64..10).prop_map(Step::Wait),
+        6 => i.clone().prop_map(Step::Restart),
+        12 => i.prop_map(Step::Use),
+    ]
+}
+
 struct Fleet {
     now: Duration,
     clients: Vec<LedgerClient>,
+    tolerance_uses: Vec<ToleranceUse>,
+    /// Times at which tokens of the tolerance were used.
+    used: Vec<(Duration, u64)>,
     restarts: Vec<u64>,
     /// Floors and end times of ended incarnations, whose loans may still be in use.
     ended: Vec<(usize, Part, Duration)>,
@@ -99,6 +125,8 @@
             inherits,
             now: Duration::ZERO,
             clients: Vec::new(),
+            tolerance_uses: Vec::new(),
+            used: Vec::new(),
             restarts: vec![0; INSTANCES],
             ended: Vec::new(),
             stored: None,
@@ -109,6 +137,7 @@
         };
         for i in 0..INSTANCES {
             fleet.clients.push(fleet.new_client(i));
+            fleet.tolerance_uses.push(ToleranceUse::default());
         }
         fleet
     }
@@ -130,6 +159,13 @@
         format!("i{i}-{}", self.restarts[i])
     }
 
+    fn proposal_inputs_of(&mut self, i: usize, lent: u8) -> ProposalInputs {
+        let mut inputs = self.proposal_inputs(lent);
+        inputs.wants_tolerance = self.tolerance_uses[i].wants_mark(self.now, &TOLERANCE);
+        inputs.mark_time = Some(TOLERANCE.mark_time());
+        inputs
+    }
+
     fn proposal_inputs(&self, lent: u8) -> ProposalInputs {
         let listed = (0..INSTANCES).map(|i| (InstanceId::from(self.name(i)), region(i)));
         ProposalInputs {
@@ -138,6 +174,8 @@
             required_floor: Part::one_of(INSTANCES * 2).mul_div_floor(lent.into(), 2),
             may_create: true,
             era: self.revision.era,
+            wants_tolerance: false,
+            mark_time: None,
         }
     }
 
@@ -185,12 +223,23 @@
 
     fn apply(&mut self, step: Step) {
         match step {
-            Step::Read(i) => self.read(i),
+            Step::Read(i) => {
+                self.read(i);
+                self.follow(i);
+            }
+            Step::Use(i) => {
+                self.use_tolerance(i);
+                self.apply(Step::Read(i));
+                self.apply(Step::Write(i, Delivery::Confirmed, 0));
+                self.use_tolerance(i);
+            }
             Step::Write(i, delivery, lent) => {
-                let proposal_inputs = self.proposal_inputs(lent);
+                let proposal_inputs = self.proposal_inputs_of(i, lent);
                 if let Some(proposal) = self.clients[i].propose(self.now, &proposal_inputs) {
+                    self.follow(i);
                     self.send(i, proposal, delivery);
                 }
+                self.follow(i);
             }
             Step::ApplyLate => {
                 if let Some(proposal) = self.late_swaps.pop() {
@@ -203,8 +252,9 @@
             Step::Restore => self.restore(),
             Step::Restart(i) => self.restart(i),
             Step::Leave(i) => {
-                let proposal_inputs = self.proposal_inputs(0);
+                let proposal_inputs = self.proposal_inputs_of(i, 0);
                 if let Some(p) = self.clients[i].propose_to_leave(&proposal_inputs) {
+                    self.follow(i);
                     self.send(i, p, Delivery::Confirmed);
                     self.restart(i);
                 }
@@ -212,6 +262,30 @@
         }
     }
 
+    fn follow(&mut self, i: usize) {
+        self.tolerance_uses[i].follow(self.now, &mut self.clients[i]);
+    }
+
+    /// Lets an instance use as much of the tolerance as it may.
+    fn use_tolerance(&mut self, i: usize) {
+        let organisation = "o1".into();
+        let mut take = |tokens| {
+            self.tolerance_uses[i].take(self.now, &organisation, tokens, LIMIT, &TOLERANCE)
+        };
+        for tokens in [5_000, 1_000, 200, 50, 10, 1] {
+            while take(tokens) == Taken::Yes {
+                self.used.push((self.now, tokens));
+            }
+        }
+    }
+
+    /// Returns the tokens of the tolerance that were used in the window that ends now.
+    fn used_in_window(&self) -> u64 {
+        let recent = |(at, _): &&(Duration, u64)| *at + TOLERANCE.window > self.now;
+        let used = self.used.iter().filter(recent);
+        used.map(|(_, tokens)| tokens).sum()
+    }
+
     fn wait(&mut self, time: Duration) {
         if self.confirmed_by.is_some_and(|by| by < self.now + time) {
             self.confirmed_by = None;
@@ -245,6 +319,7 @@
         self.ended.push((i, self.clients[i].floor(), self.now));
         self.restarts[i] += 1;
         self.clients[i] = self.new_client(i);
+        self.tolerance_uses[i] = ToleranceUse::default();
     }
 
     /// Returns what may be in use: floors, and loans of ended incarnations.
@@ -311,6 +386,29 @@
         }
     }
 
+    /// Guards against processes that use anew what earlier ones of their instance, or other holders
+    /// of their part, have used within the window.
+    #[test]
+    fn uses_of_the_tolerance_stay_within_a_window(
+        steps in vec(step_with_uses(), 1..200),
+        inherits in any::<bool>(),
+    ) {
+        let mut fleet = Fleet::new(inherits);
+        for _ in 0..10 {
+            for i in 0..INSTANCES {
+                fleet.apply(Step::Read(i));
+                fleet.apply(Step::Write(i, Delivery::Confirmed, 0));
+            }
+            fleet.apply(Step::Wait(10));
+        }
+        for step in steps {
+            let step_text = format!("{step:?}");
+            fleet.apply(step);
+            let used = fleet.used_in_window();
+            prop_assert!(used <= 10_000, "{} after {}", used, step_text);
+        }
+    }
+
     #[test]
     fn a_restored_ledger_converges_to_the_floors_before(
         steps in vec(step().prop_filter("stays", keeps_instances), 0..30),
--- a/tests/limits/live.rs
+++ b/tests/limits/live.rs
@@ -12,6 +12,7 @@
 use limpetstand::clock::Clock;
 use limpetstand::config::{Organisation, Revision, Snapshot};
 use limpetstand::id::{InstanceId, OrganisationId};
+use limpetstand::limit::tolerance::Tolerance;
 use limpetstand::limit::{self, Hold, Limiter, LimiterDeps};
 use limpetstand::member::{Fleet, Health, Member};
 use limpetstand::peer::{PeerError, PeerHandler, Peers};
@@ -184,11 +185,22 @@
     fleet: watch::Sender<Arc<Fleet>>,
     snapshot: watch::Sender<Arc<Snapshot>>,
     policy: &'static str,
+    tolerance: Tolerance,
 }
 
 impl LimiterFleet {
     /// Starts `per_region` instances in each of `regions` regions.
     pub(crate) fn start(policy: &'static str, regions: u16, per_region: u16) -> Self {
+        Self::start_with_tolerance(policy, regions, per_region, Tolerance::NONE)
+    }
+
+    /// Starts a fleet in which organisations may use more than their rate and burst.
+    pub(crate) fn start_with_tolerance(
+        policy: &'static str,
+        regions: u16,
+        per_region: u16,
+        tolerance: Tolerance,
+    ) -> Self {
         let mut fleet = Self {
             store: Arc::default(),
             network: Arc::default(),
@@ -197,6 +209,7 @@
             fleet: watch::channel(Arc::default()).0,
             snapshot: watch::channel(Arc::default()).0,
             policy,
+            tolerance,
         };
         for region in 0..regions {
             for i in 1..=per_region {
@@ -223,6 +236,10 @@
                 network: Arc::clone(&self.network),
             }),
             store: Arc::clone(&self.store) as _,
+            tolerance: Arc::new({
+                let tolerance = self.tolerance;
+                move || tolerance
+            }),
         };
         let started = limit::start(self.policy, deps).expect("a limiter of that name");
         if let Some(handler) = started.handler {
