Serve new, leaving and lone instances without the tolerance

Since the tolerance comes with a part of the ledger.

- While the store has no ledger and no instance that answers has a copy, each instance uses an equal part from its start on, as nobody holds one yet.
- An instance without a part reads the ledger every 0.25 s to 0.5 s instead of every 5 s to 10 s.
In a rolling restart of three instances, two had no part for 10 s after the third had left.
- An instance that leaves as the last live one of its region keeps its part until it has no request in flight.
- An instance says that it is not ready until it knows its part, and requests that no loan covers wait for it, for 5 s at most.
- Requests that wait for the part ask for the mark at once, so a restarted instance writes the ledger once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -184,11 +184,14 @@
         given_up(&self.departure.subscribe()).await;
     }
 
-    /// Returns whether requests can be served: the instance is not leaving and has loaded the route
-    /// table and the target registry.
+    /// Returns whether requests can be served: the instance is not leaving, has loaded the route
+    /// table and the target registry, and does not wait for its share of the organisations' rates.
     fn is_ready(&self) -> bool {
-        let view = self.view.borrow();
-        !self.is_leaving() && view.route_table.is_some() && view.registry_loaded
+        let is_loaded = {
+            let view = self.view.borrow();
+            view.route_table.is_some() && view.registry_loaded
+        };
+        !self.is_leaving() && is_loaded && !self.quota.is_starting()
     }
 
     /// Returns how many instances share the fleet-wide limits; at least 1.
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -94,6 +94,11 @@
         Ok(Charge::Share(hold))
     }
 
+    /// Tells whether the instance has just started and does not know its share of the rates yet.
+    pub fn is_starting(&self) -> bool {
+        self.limiter.is_starting()
+    }
+
     /// Tells whether the limiter's configuration already has an organisation of the route table.
     fn is_known(&self, organisation: &OrganisationId) -> bool {
         let snapshot = self.snapshot.borrow();
--- a/src/limit.rs
+++ b/src/limit.rs
@@ -153,6 +153,12 @@
         hold.settle(used);
     }
 
+    /// Returns whether this instance has just started and does not know its part yet, so that it may
+    /// refuse requests within their organisation's rate.
+    fn is_starting(&self) -> bool {
+        false
+    }
+
     /// Gives up all parts and loans of this instance; called once, when no request is in flight any
     /// more.
     async fn leave(&self) {}
--- a/src/limit/delegate.rs
+++ b/src/limit/delegate.rs
@@ -225,6 +225,12 @@
         candidates.push((member.id.clone(), member.peer));
     }
     candidates.truncate(MAX_HOLDERS_ASKED);
+    drop(fleet);
+    if candidates.is_empty() && shares.is_last_holder() {
+        let own = shares.deps.id.clone();
+        let address = shares.peer_address(&own);
+        candidates.extend(address.map(|address| (own, address)));
+    }
     candidates
 }
 
--- a/src/limit/maintenance.rs
+++ b/src/limit/maintenance.rs
@@ -26,7 +26,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Mean interval between two ticks while the instance starts and does not use its part yet.
-const STARTUP_TICK_INTERVAL: Duration = Duration::from_millis(150);
+const STARTUP_TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Number of ticks of the actor between two checks for loans to return or to prolong.
 const TICKS_PER_LOAN_CHECK: u64 = 4;
@@ -168,7 +168,9 @@
         }
         if shares.now() >= self.next_read {
             let is_settled = self.sync_ledger(shares).await;
-            let interval = if is_settled {
+            // Others free or move parts at any time, and loans are all that an instance has until then.
+            let has_part = !shares.ledger_client().assigned_part().is_zero();
+            let interval = if is_settled && has_part {
                 LEDGER_READ_INTERVAL
             } else {
                 LEDGER_RETRY_INTERVAL
@@ -244,8 +246,9 @@
         }
         let is_holder = shares.holder_ids().contains(&shares.deps.id);
         let was_holder = shares.is_holder.load(Ordering::Relaxed);
-        if is_holder == was_holder {
-            return is_holder;
+        // A leaving instance that no other holder of its region can charge for keeps its part.
+        if is_holder == was_holder || (was_holder && shares.is_last_holder()) {
+            return was_holder;
         }
         let is_settled = shares.now() >= self.listed_since + LIST_SETTLE_TIME;
         let may_change = is_settled || (is_holder && self.inherits_part(shares).await);
@@ -265,11 +268,10 @@
         if let Some(inherits_part) = self.inherits_part {
             return inherits_part;
         }
-        counter!("limpetstand_limit_store_calls_total", "call" => "read").increment(1);
-        let Ok(found) = shares.deps.store.get(LEDGER_KEY).await else {
+        if !read_ledger(shares).await {
             return false;
-        };
-        apply_read(shares, found.as_ref());
+        }
+        self.fetch_copies(shares).await;
         let client = shares.ledger_client();
         let ledger = client.ledger();
         let inherits_part = ledger.is_some_and(|l| l.holds_part(&shares.deps.id));
@@ -323,10 +325,8 @@
     /// Reads the ledger and writes the changes that are due; returns whether the ledger is known
     /// and no change is pending.
     async fn sync_ledger(&mut self, shares: &Arc<Shares>) -> bool {
-        counter!("limpetstand_limit_store_calls_total", "call" => "read").increment(1);
-        match shares.deps.store.get(LEDGER_KEY).await {
-            Ok(found) => apply_read(shares, found.as_ref()),
-            Err(_) => return shares.ledger_client().ledger().is_some(),
+        if !read_ledger(shares).await {
+            return shares.ledger_client().ledger().is_some();
         }
         let may_create = self.fetch_copies(shares).await;
         self.write_changes(shares, may_create).await
@@ -387,13 +387,35 @@
                 Err(_) => all_answered = false,
             }
         }
+        let lacks_ledger = shares.ledger_client().ledger().is_none();
+        shares.lacks_ledger.store(lacks_ledger, Ordering::Relaxed);
+        apply_floor(shares, shares.now());
         all_answered || now.saturating_sub(since) >= CREATE_LEDGER_DELAY
     }
 }
 
+/// Reads the ledger from the store and applies it; returns whether the store has answered. While no
+/// ledger is known, a read that fails is repeated at once.
+async fn read_ledger(shares: &Shares) -> bool {
+    for _ in 0..2 {
+        counter!("limpetstand_limit_store_calls_total", "call" => "read").increment(1);
+        if let Ok(found) = shares.deps.store.get(LEDGER_KEY).await {
+            apply_read(shares, found.as_ref());
+            return true;
+        }
+        if shares.ledger_client().ledger().is_some() {
+            break;
+        }
+    }
+    false
+}
+
 /// Applies the ledger read from the store, and lowers or raises the floors accordingly.
 fn apply_read(shares: &Shares, found: Option<&Entry>) {
     let now = shares.now();
+    if found.is_some() {
+        shares.lacks_ledger.store(false, Ordering::Relaxed);
+    }
     let ledger = match found {
         Some(entry) => match Ledger::from_bytes(&entry.value) {
             Ok(ledger) => Some((entry.mod_revision, ledger)),
@@ -411,7 +433,12 @@
 /// Sets the floors of all accounts to the part that this instance may use. No other instance has
 /// used an added part since `unused_since`.
 fn apply_floor(shares: &Shares, unused_since: Duration) {
-    let floor = shares.ledger_client().floor();
+    let floor = if shares.lacks_ledger.load(Ordering::Relaxed) {
+        // Nobody has a part yet. Until the ledger assigns them, each instance uses an equal one.
+        Part::one_of(shares.deps.fleet.borrow().members.len())
+    } else {
+        shares.ledger_client().floor()
+    };
     shares.revoke_floor(floor);
     shares.raise_floor(floor, unused_since);
     shares.apply_tolerance();
@@ -420,6 +447,9 @@
 /// Lowers the floors to the proposal's floor, sends the proposal to the store and applies the
 /// outcome.
 async fn swap(shares: &Shares, proposal: Proposal) -> SwapOutcome {
+    if shares.lacks_ledger.swap(false, Ordering::Relaxed) {
+        shares.revoke_floor(proposal.floor);
+    }
     shares.apply_tolerance();
     let value = proposal.ledger.to_bytes();
     let value = match value {
--- a/src/limit/shares.rs
+++ b/src/limit/shares.rs
@@ -41,10 +41,10 @@
 /// itself may give up earlier.
 const LOAN_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time after the process start in which requests that lack tokens wait for this instance's part.
-/// A restarted instance reads its part from the ledger within a few hundred milliseconds, and
-/// callers give up after a second.
-pub(super) const PART_WAIT: Duration = Duration::from_millis(700);
+/// Time after the process start in which requests that lack tokens wait for this instance's part. A
+/// restarted instance reads its part from the ledger within a few hundred milliseconds; a new one
+/// claims a part when the list of instances has settled. The rest is for a store that is slow.
+pub(super) const PART_WAIT: Duration = Duration::from_secs(5);
 
 /// Longest time that a request of another instance waits for this instance's part; less than the
 /// time after which the other instance asks the next holder.
@@ -116,6 +116,7 @@
         part_changed: Notify::new(),
         mark_wanted: Arc::default(),
         is_holder: AtomicBool::new(!mode.few_holders),
+        lacks_ledger: AtomicBool::new(false),
         mode,
         deps,
     });
@@ -149,6 +150,8 @@
     pub(super) mode: Mode,
     /// Whether this instance holds parts.
     pub(super) is_holder: AtomicBool,
+    /// Whether there is no ledger yet: the store has none, and no instance that answers has a copy.
+    pub(super) lacks_ledger: AtomicBool,
     pub(super) delegation: Delegation,
     tolerance_use: Mutex<ToleranceUse>,
     /// Notified when the part that this instance may use changes, or the mark of its tolerance.
@@ -309,6 +312,20 @@
         all
     }
 
+    /// Returns whether this instance leaves and its region has no other live instance.
+    pub(super) fn is_last_holder(&self) -> bool {
+        let fleet = self.deps.fleet.borrow();
+        let mut is_leaving = false;
+        for member in &fleet.members {
+            if member.id == self.deps.id {
+                is_leaving = member.health == Health::Leaving;
+            } else if member.region == self.deps.region && member.health == Health::Live {
+                return false;
+            }
+        }
+        is_leaving
+    }
+
     fn charge(
         &self,
         shared_account: &SharedAccount,
@@ -554,6 +571,10 @@
         self.admit_here(organisation, tokens, time_left, wait).await
     }
 
+    fn is_starting(&self) -> bool {
+        self.0.expects_part()
+    }
+
     async fn leave(&self) {
         maintenance::leave(&self.0).await;
     }
--- a/src/limit/tolerance.rs
+++ b/src/limit/tolerance.rs
@@ -209,12 +209,17 @@
         (used.tolerated, used.window) = (tolerated, window);
         used.resize(self.part);
         let tokens = Amount::tokens(tokens);
+        // Without a part, the process may yet inherit full buckets.
+        let may_suffice = tokens <= used.bucket.level() || self.part.is_zero();
         let is_unmarkable = !self.is_marked && now < self.unmarkable_until;
-        if tokens > used.bucket.level() || is_unmarkable {
+        if !may_suffice || is_unmarkable {
             return Taken::Insufficient;
         }
         self.used_at = now;
         self.is_wanted = true;
+        if self.part.is_zero() {
+            return Taken::Insufficient;
+        }
         if !self.is_marked {
             return Taken::NeedsMark;
         }
