--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::platform_view::PlatformView;
 use super::routes::{OrganisationPolicy, RouteTable};
@@ -80,7 +81,7 @@
         if policy.rate == 0 {
             return Ok(Charge::Free);
         }
-        if !self.is_known(organisation) {
+        if !self.becomes_known(organisation, time_left).await {
             let refusal = Refusal::not_run(
                 Code::RateExceeded,
                 "this instance has no share of the organisation's rate yet",
@@ -99,10 +100,13 @@
         self.limiter.is_starting()
     }
 
-    /// Tells whether the limiter's configuration already has an organisation of the route table.
-    fn is_known(&self, organisation: &OrganisationId) -> bool {
-        let snapshot = self.snapshot.borrow();
-        snapshot.merged.organisations.contains_key(organisation)
+    /// Waits until the limiter's configuration has an organisation of the route table, which takes
+    /// a moment; returns whether it has.
+    async fn becomes_known(&self, organisation: &OrganisationId, time_left: Duration) -> bool {
+        let mut snapshot = self.snapshot.clone();
+        let known = snapshot.wait_for(|s| s.merged.organisations.contains_key(organisation));
+        let known = timeout(SHARE_SETUP_TIME.min(time_left), known).await;
+        matches!(known, Ok(Ok(_)))
     }
 }
 
