--- a/tests/tolerance.rs
+++ b/tests/tolerance.rs
@@ -203,3 +203,33 @@
         "the bucket was empty until now"
     );
 }
+
+/// Guards against instances that each use a large part before the ledger is created, as their list
+/// of instances is still short.
+#[tokio::test(start_paused = true)]
+async fn a_first_start_stays_within_the_tolerance() {
+    const SMALL: u64 = TOKENS / 10;
+    for size in [3, 9, 99] {
+        let mut fleet = LimiterFleet::start_with_tolerance("few-holders", 0, 0, TOLERANCE);
+        fleet.set_organisation("o1", LIMIT.rate, LIMIT.burst);
+        let mut admitted = 0;
+        let mut requests = Vec::new();
+        for ms in 0..TOLERANCE.window.as_millis() {
+            // All instances start within 0.3 s.
+            if fleet.limiters.len() < size && ms % (300 / size as u128) == 0 {
+                let port = u16::try_from(fleet.limiters.len()).expect("few instances");
+                fleet.add_instance(port);
+            }
+            let i = usize::try_from(ms).expect("small") % fleet.limiters.len();
+            requests.push(tokio::spawn(fleet.request(i, "o1", SMALL)));
+            sleep(Duration::from_millis(1)).await;
+        }
+        for request in requests {
+            if request.is_finished() && request.await.expect("no panic") {
+                admitted += SMALL;
+            }
+        }
+        println!("{size} instances: {admitted} of {}", allowed());
+        assert!(admitted as f64 <= allowed(), "{size} instances: {admitted}");
+    }
+}
