--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -101,12 +101,15 @@
     }
 
     /// Waits until the limiter's configuration has an organisation of the route table, which takes
-    /// a moment; returns whether it has.
+    /// a moment after a change; returns whether it has.
     async fn becomes_known(&self, organisation: &OrganisationId, time_left: Duration) -> bool {
+        let is_known = |s: &Arc<Snapshot>| s.merged.organisations.contains_key(organisation);
+        if is_known(&self.snapshot.borrow()) {
+            return true;
+        }
         let mut snapshot = self.snapshot.clone();
-        let known = snapshot.wait_for(|s| s.merged.organisations.contains_key(organisation));
-        let known = timeout(SHARE_SETUP_TIME.min(time_left), known).await;
-        matches!(known, Ok(Ok(_)))
+        let known = timeout(SHARE_SETUP_TIME.min(time_left), snapshot.wait_for(is_known));
+        matches!(known.await, Ok(Ok(_)))
     }
 }
 
