--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -577,3 +577,18 @@
     ledger.reclaim(&next, Part::one_of(2));
     assert_eq!(ledger.part(&next), Part::one_of(2));
 }
+
+/// Guards against a ledger of a build before the marks that cannot be read, or reads as marked.
+#[test]
+fn a_ledger_without_marks_reads_as_unmarked_and_is_written_as_it_was() {
+    let text = concat!(
+        r#"{"format":1,"era":3,"holders":[{"instance":"a","incarnation":1,"region":"r","#,
+        r#""part":600000000,"confirmed_in":3}]}"#
+    );
+    let mut ledger = Ledger::from_bytes(text.as_bytes()).expect("a ledger");
+    assert!(!ledger.is_tolerance_marked(&"a".into()));
+    assert_eq!(ledger.to_bytes().expect("encoded"), text.as_bytes());
+    ledger.mark_tolerance(&holder("a", 1), true);
+    let marked = Ledger::from_bytes(&ledger.to_bytes().expect("encoded")).expect("a ledger");
+    assert!(marked.is_tolerance_marked(&"a".into()));
+}
